Detect deadlocks in virtual time

Change: a wait of the loop's longest select time-out counts as a deadlock.

Conclusion: a run that can't progress now fails.

--- a/cassiarail/core/loops.py
+++ b/cassiarail/core/loops.py
@@ -14,6 +14,7 @@
 import uvloop
 
 _Returned = TypeVar('_Returned')
+_LONGEST_WAIT_S = 86_400
 
 
 class DeadlockError(RuntimeError):
@@ -32,7 +33,9 @@
         timeout: float | None = None,
     ) -> list[tuple[selectors.SelectorKey, int]]:
         """Return at once, and count the wait as passed."""
-        if timeout is None:
+        # ``anyio.sleep_forever`` sets a timer at infinity, for which the loop
+        # asks for its longest wait.
+        if timeout is None or timeout >= _LONGEST_WAIT_S:
             raise DeadlockError('no task can run and no timer is set')
         self.elapsed_s += max(0, timeout)
         return []
