Add settings, declarations and telemetry

Cause: processes need checked settings, operators need checked defaults and exceptions, and both need logs, metrics and traces.

--- /dev/null
+++ b/cassiarail/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Read and check the settings of a process."""
--- /dev/null
+++ b/cassiarail/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Emit logs, metrics and traces."""
--- /dev/null
+++ b/tests/declarations/test_declarations.py
@@ -0,0 +1,102 @@
+"""Guard against declarations that would break a promise once applied."""
+
+import copy
+import pathlib
+
+import pytest
+
+from cassiarail.declarations.differences import compare_declarations
+from cassiarail.declarations.loader import (
+    RejectedDeclarationsError,
+    load_folder,
+    validate_declarations,
+)
+from cassiarail.declarations.resolve import resolve_origins, resolve_policy
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+
+
+@pytest.fixture(name='declarations')
+def load_salines():
+    return load_folder(EXAMPLES / 'salines')[0]
+
+
+@pytest.mark.parametrize('name', ['salines', 'ingobyi'])
+def test_examples_are_valid(name):
+    declarations, warnings = load_folder(EXAMPLES / name)
+    assert warnings == []
+    assert len(declarations['exceptions']) >= 2
+
+
+def _first(declarations, key):
+    return declarations[key][0]
+
+
+BREAKAGES = {
+    'D010': lambda each: each['models'].append(each['models'][0]),
+    'D011': lambda each: each['models'][0].update(service='none'),
+    'D012': lambda each: each['services'][0]['targets'][0].update(
+        data_centre='basel',
+    ),
+    'D013': lambda each: each['services'][0]['targets'][0].update(address='x'),
+    'D014': lambda each: each['exceptions'][0].update(reason='  '),
+    'D015': lambda each: each['exceptions'][0].update(match={'model': 'none'}),
+    'D016': lambda each: each['exceptions'].append(
+        {**each['exceptions'][0], 'name': 'again'},
+    ),
+    'D017': lambda each: each['fleet']['defaults'].update(timeout_s=0.0),
+    'D018': lambda each: each['exceptions'][0]['set'].update(
+        pinned_targets=['none'],
+    ),
+    'D019': lambda each: each['models'][0].update(bytes=10**12),
+    'D020': lambda each: each['exceptions'][0]['set'].update(
+        replicas_min=9,
+        replicas_max=2,
+    ),
+    'D021': lambda each: each['callers'][0].update(key_digests=['secret']),
+    'D022': lambda each: each['services'][0].update(kind='odd'),
+    'D023': lambda each: each['callers'][0].update(models=['none']),
+    'D024': lambda each: each['fleet']['defaults'].pop('timeout_s'),
+    'D025': lambda each: each['fleet']['defaults'].update(
+        data_centres_per_model=4,
+    ),
+    'D026': lambda each: each['models'][0].update(service='ernteregister'),
+    'D028': lambda each: each['exceptions'][0].update(match={}),
+}
+
+
+@pytest.mark.parametrize('check_id', BREAKAGES)
+def test_rejects_with_id(declarations, check_id):
+    broken = copy.deepcopy(declarations)
+    BREAKAGES[check_id](broken)
+    with pytest.raises(RejectedDeclarationsError) as caught:
+        validate_declarations(broken)
+    assert check_id in {each.check_id for each in caught.value.problems}
+
+
+def test_warns_when_memory_cannot_hold_all_models(declarations):
+    """The operator must learn it before the plan has to choose."""
+    declarations['fleet']['defaults']['kv_reserve_bytes'] = 10**10
+    warnings = validate_declarations(declarations)
+    assert [each.check_id for each in warnings] == ['D027']
+
+
+def test_exception_overrides_the_default_and_gives_its_reason(declarations):
+    policy = resolve_policy(declarations, {'model': 'audit'})
+    assert policy['replicas_min'] == 2
+    origin = resolve_origins(declarations, {'model': 'audit'})['replicas_min']
+    assert origin.source == 'audit-two-replicas'
+    assert origin.reason
+    assert (
+        resolve_policy(declarations, {'model': 'archiv'})['replicas_min'] == 1
+    )
+
+
+def test_difference_names_models_and_targets(declarations):
+    """A change of one exception must not be shown as touching all models."""
+    after = copy.deepcopy(declarations)
+    after['exceptions'][0]['set']['replicas_min'] = 3
+    impact = compare_declarations(declarations, after)
+    assert impact.models == ['audit']
+    assert len(impact.targets) == 6
+    assert impact.differences[0].after == 3
