--- /dev/null
+++ b/cassiarail/placement/backends/greedy.py
@@ -0,0 +1,59 @@
+"""Follow demand at every plan without regard to moves."""
+
+import heapq
+
+from cassiarail.placement.backends.base import (
+    ModelNeed,
+    PlacementInput,
+    PlacementPolicy,
+    Plan,
+)
+from cassiarail.placement.backends.floor import place_floor
+from cassiarail.placement.layout import Layout
+from cassiarail.placement.moves import list_moves
+
+
+class GreedyPolicy(PlacementPolicy):
+    """Plan from scratch: give the busiest model the least loaded target.
+
+    It is the baseline for the value of a price on moves.
+    """
+
+    name = 'greedy'
+
+    def plan(self, situation: PlacementInput) -> Plan:
+        """Return a plan that ignores what is held."""
+        empty = situation._replace(
+            targets=tuple(
+                target._replace(held=frozenset())
+                for target in situation.targets
+            ),
+        )
+        layout = Layout(empty)
+        unplaced = place_floor(layout)
+        _fill(layout)
+        holdings = layout.holdings()
+        return Plan(holdings, list_moves(situation, holdings), unplaced)
+
+
+def _fill(layout: Layout) -> None:
+    heap = [
+        (-layout.share(name), name)
+        for name, names in layout.replicas.items()
+        if names
+    ]
+    heapq.heapify(heap)
+    while heap:
+        _, model = heapq.heappop(heap)
+        if _add_replica(layout, layout.needs[model]):
+            heapq.heappush(heap, (-layout.share(model), model))
+
+
+def _add_replica(layout: Layout, need: ModelNeed) -> bool:
+    if len(layout.replicas[need.key.model]) >= need.replicas_max:
+        return False
+    target = layout.find_room(need)
+    if target is None:
+        return False
+    layout.add(need.key.model, target)
+    return True
--- /dev/null
+++ b/cassiarail/placement/backends/static.py
@@ -0,0 +1,26 @@
+"""Place by the declarations alone."""
+
+from cassiarail.placement.backends.base import (
+    PlacementInput,
+    PlacementPolicy,
+    Plan,
+)
+from cassiarail.placement.backends.floor import place_floor
+from cassiarail.placement.layout import Layout
+from cassiarail.placement.moves import list_moves
+
+
+class StaticPolicy(PlacementPolicy):
+    """Keep the base replicas and never follow demand.
+
+    It is the baseline for the value of following demand.
+    """
+
+    name = 'static'
+
+    def plan(self, situation: PlacementInput) -> Plan:
+        """Return the base replicas of every model."""
+        layout = Layout(situation)
+        unplaced = place_floor(layout)
+        holdings = layout.holdings()
+        return Plan(holdings, list_moves(situation, holdings), unplaced)
--- /dev/null
+++ b/cassiarail/placement/homes.py
@@ -0,0 +1,164 @@
+"""Assign each model to its home data centres.
+
+The assignment is a function of the declarations alone. Every data centre
+computes the same one without asking the others, also while it is partitioned
+from them, and it changes no more than the declarations do.
+"""
+
+import collections
+import heapq
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from cassiarail.placement.backends.base import ModelNeed, TargetRoom
+
+
+class Homes(NamedTuple):
+    """Hold the home data centres of each model, and why some have fewer.
+
+    ``unplaced`` maps the names of models that fit nowhere to the reason.
+    ``reduced`` maps the names of models with fewer homes than wanted.
+    """
+
+    by_model: Mapping[str, tuple[str, ...]]
+    unplaced: Mapping[str, str]
+    reduced: Mapping[str, str]
+
+
+def size_bundle(need: ModelNeed) -> int:
+    """Return the bytes of a replica: weights, KV reserve and adapters."""
+    return need.bytes + need.kv_reserve_bytes + sum(need.adapters.values())
+
+
+def count_base_replicas(need: ModelNeed, homes: Sequence[str]) -> int:
+    """Return the replicas that each home keeps whatever the demand is."""
+    if not homes:
+        return 0
+    return max(1, math.ceil(need.replicas_min / len(homes)))
+
+
+class _CentreRoom:
+    """Track the free memory of one service's targets in a data centre."""
+
+    def __init__(self) -> None:
+        self.free: dict[str, int] = {}
+        self.total = 0
+        self._heap: list[tuple[int, str]] = []
+
+    def add_target(self, name: str, memory_bytes: int) -> None:
+        """Add an empty target."""
+        self.free[name] = memory_bytes
+        self.total += memory_bytes
+        heapq.heappush(self._heap, (-memory_bytes, name))
+
+    def place(self, need: ModelNeed, count: int) -> bool:
+        """Take room for some replicas, or leave all as it was."""
+        size = size_bundle(need)
+        chosen = self._find_free(need, size, count)
+        if len(chosen) < count:
+            return False
+        for name in chosen:
+            self.free[name] -= size
+            self.total -= size
+            heapq.heappush(self._heap, (-self.free[name], name))
+        return True
+
+    def _find_free(self, need: ModelNeed, size: int, count: int) -> list[str]:
+        """Return the allowed targets with the most free memory.
+
+        Targets leave the heap in order of their free memory, so the search
+        ends at the first that is too small.
+        """
+        chosen: list[str] = []
+        passed = []
+        while self._heap and len(chosen) < count:
+            entry = heapq.heappop(self._heap)
+            if -entry[0] != self.free[entry[1]]:
+                continue
+            passed.append(entry)
+            if -entry[0] < size:
+                break
+            if _is_allowed(need, entry[1]):
+                chosen.append(entry[1])
+        for entry in passed:
+            heapq.heappush(self._heap, entry)
+        return chosen
+
+
+def assign_homes(
+    needs: Iterable[ModelNeed],
+    targets: Iterable[TargetRoom],
+) -> Homes:
+    """Return the homes of all models, the largest models first.
+
+    Every model gets its first home before any gets a second one, so that
+    reachability goes before tolerance of a lost data centre.
+    """
+    rooms: dict[str, dict[str, _CentreRoom]] = collections.defaultdict(dict)
+    for target in targets:
+        centre = rooms[target.service].setdefault(
+            target.data_centre,
+            _CentreRoom(),
+        )
+        centre.add_target(target.name, target.memory_bytes)
+    ordered = sorted(
+        needs,
+        key=lambda need: (-size_bundle(need), need.key.model),
+    )
+    chosen: dict[str, list[str]] = {need.key.model: [] for need in ordered}
+    rounds = max((need.data_centres for need in ordered), default=0)
+    for round_number in range(rounds):
+        for need in ordered:
+            if round_number < need.data_centres:
+                _add_home(need, rooms[need.service], chosen[need.key.model])
+    return _describe(ordered, chosen)
+
+
+def _add_home(
+    need: ModelNeed,
+    rooms: Mapping[str, _CentreRoom],
+    chosen: list[str],
+) -> None:
+    candidates = sorted(
+        (name for name in rooms if name not in chosen),
+        key=lambda name: (
+            not _is_pinned_to(need, rooms[name]),
+            -rooms[name].total,
+            name,
+        ),
+    )
+    for name in candidates:
+        if rooms[name].place(need, count_base_replicas(need, ['home'])):
+            chosen.append(name)
+            return
+
+
+def _describe(
+    needs: Sequence[ModelNeed],
+    chosen: Mapping[str, list[str]],
+) -> Homes:
+    unplaced = {}
+    reduced = {}
+    for need in needs:
+        name = need.key.model
+        size = size_bundle(need)
+        if not chosen[name]:
+            unplaced[name] = f'no target has {size} bytes left'
+        elif len(chosen[name]) < need.data_centres:
+            reduced[name] = (
+                f'{len(chosen[name])} of {need.data_centres} data centres:'
+                f' no other target has {size} bytes left'
+            )
+    homes = {name: tuple(sorted(centres)) for name, centres in chosen.items()}
+    return Homes(homes, unplaced, reduced)
+
+
+def _is_allowed(need: ModelNeed, target: str) -> bool:
+    if target in need.forbidden_targets:
+        return False
+    return not need.pinned_targets or target in need.pinned_targets
+
+
+def _is_pinned_to(need: ModelNeed, room: _CentreRoom) -> bool:
+    return any(name in room.free for name in need.pinned_targets)
