Add the memory ledger, orders, executor and placement loops

First version of the execution of plans, so that other parts can be joined to it. Ledgers are written under the fence of the lease; reports are applied only to the ledger version known before they were asked for; unloads need another ready copy.

--- /dev/null
+++ b/cassiarail/control/events.py
@@ -0,0 +1,34 @@
+"""Define the log events of the execution of the plan."""
+
+from absl import logging
+
+from cassiarail.core.events import define_event
+
+ORDER_SENT = define_event(
+    number=3001, level=logging.INFO, summary='order sent to a target'
+)
+ORDER_UNCERTAIN = define_event(
+    number=3002,
+    level=logging.WARNING,
+    summary='outcome of an order is unknown; its memory stays charged',
+)
+INSTANCE_CHANGED = define_event(
+    number=3003,
+    level=logging.WARNING,
+    summary='target runs as a new instance',
+)
+UNKNOWN_HOLDING = define_event(
+    number=3004,
+    level=logging.WARNING,
+    summary='target holds a key that the ledger did not promise',
+)
+REPORT_FAILED = define_event(
+    number=3005,
+    level=logging.WARNING,
+    summary='report of a target could not be read',
+)
+MOVE_REFUSED = define_event(
+    number=3006,
+    level=logging.INFO,
+    summary='move was refused for now',
+)
--- /dev/null
+++ b/cassiarail/control/executor.py
@@ -0,0 +1,332 @@
+"""Carry out the moves of a plan, make before break.
+
+The executor keeps no list of work in progress: each call starts the moves
+that are allowed now, and the ledgers and reports show how far earlier ones
+have come. So a new holder of the lease goes on where the last one stopped.
+"""
+
+import collections
+import functools
+import random
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from cassiarail.control.events import (
+    MOVE_REFUSED,
+    ORDER_SENT,
+    ORDER_UNCERTAIN,
+)
+from cassiarail.control.inventory import Inventory, list_ready, read_key
+from cassiarail.control.ledger import (
+    LOADS,
+    LedgerDocument,
+    SendDocument,
+    TargetShape,
+    find_sends,
+    format_key,
+    list_keys,
+    record_send,
+    reserve,
+)
+from cassiarail.control.ledgers import LedgerKeeper
+from cassiarail.control.orders import EngineAdmin, OrderDocument, OrderOutcome
+from cassiarail.control.rates import LoadRate, LoadShare
+from cassiarail.core.clock import Clock
+from cassiarail.core.events import emit_event
+from cassiarail.core.exceptions import (
+    ControlError,
+    StaleFenceError,
+    StoreError,
+)
+from cassiarail.placement.backends.base import (
+    HoldingKey,
+    Move,
+    MoveKind,
+    Plan,
+)
+
+# An order without a trace in the reports is sent again after this time.
+_RESEND_S = 10.0
+_ORDER_ID_BITS = 96
+_LOADING = frozenset((MoveKind.LOAD_MODEL, MoveKind.LOAD_ADAPTER))
+
+
+class KeySize(NamedTuple):
+    """Hold the bytes that a key takes over all accelerators."""
+
+    bytes: int
+    kv_reserve_bytes: int = 0
+
+
+class ExecutorSettings(NamedTuple):
+    """Hold what bounds an executor."""
+
+    share: LoadShare
+    resend_s: float = _RESEND_S
+
+
+class Executor:
+    """Start the moves of plans under one acquisition of the lease."""
+
+    def __init__(
+        self,
+        keeper: LedgerKeeper,
+        inventory: Inventory,
+        admin: EngineAdmin,
+        may_act: Callable[[], bool],
+        settings: ExecutorSettings,
+        clock: Clock,
+        generator: random.Random,
+    ) -> None:
+        """Take what tells whether the lease is still held."""
+        self.started: collections.Counter[MoveKind] = collections.Counter()
+        self._keeper = keeper
+        self._inventory = inventory
+        self._admin = admin
+        self._may_act = may_act
+        self._settings = settings
+        self._clock = clock
+        self._generator = generator
+        self._rate = LoadRate(settings.share.weight_loads_per_second, clock)
+        self._sent_at: dict[tuple[str, HoldingKey, MoveKind], float] = {}
+
+    async def execute(
+        self,
+        plan: Plan,
+        shapes: Mapping[str, TargetShape],
+        sizes: Mapping[HoldingKey, KeySize],
+        has_remote_copy: Callable[[str], bool],
+    ) -> None:
+        """Start the moves that are allowed now, the most urgent first.
+
+        ``has_remote_copy`` tells whether an earlier data centre has a model
+        ready. Raises ``StaleFenceError`` if a later holder took over.
+        """
+        undone = [
+            move
+            for move in plan.moves
+            if move.target in shapes and not self._is_done(move)
+        ]
+        pending = {move.key for move in undone}
+        for move in sorted(undone, key=self._rank):
+            if pending.intersection(move.after):
+                continue
+            try:
+                await self._start(
+                    move,
+                    shapes[move.target],
+                    sizes,
+                    has_remote_copy,
+                )
+            except StaleFenceError:
+                raise
+            except (ControlError, StoreError) as error:
+                emit_event(
+                    MOVE_REFUSED,
+                    target=move.target,
+                    kind=move.kind.value,
+                    key=format_key(move.key),
+                    reason=str(error),
+                )
+
+    def _rank(self, move: Move) -> int:
+        """Order loads of models that have no copy before all others."""
+        if move.kind not in _LOADING:
+            return 2
+        if self._inventory.has_other_copy(move.target, move.key):
+            return 1
+        return 0
+
+    def _is_done(self, move: Move) -> bool:
+        if self._inventory.find_report(move.target) is None:
+            return False
+        if move.kind in _LOADING:
+            return self._inventory.is_ready(move.target, move.key)
+        ledger = self._keeper.get(move.target)
+        return format_key(move.key) not in ledger['entries']
+
+    async def _start(
+        self,
+        move: Move,
+        shape: TargetShape,
+        sizes: Mapping[HoldingKey, KeySize],
+        has_remote_copy: Callable[[str], bool],
+    ) -> None:
+        if not self._is_due(move):
+            return
+        if move.kind in _LOADING:
+            self._require_limits(move)
+            size = sizes[move.key]
+            await self._record_and_send(
+                move,
+                shape,
+                lambda ledger: reserve(
+                    ledger,
+                    move.key,
+                    size.bytes,
+                    size.kv_reserve_bytes,
+                ),
+                lambda: True,
+            )
+            return
+        may_break = functools.partial(self._may_break, move, has_remote_copy)
+        if not may_break():
+            raise ControlError('no other copy is ready')
+        await self._record_and_send(move, shape, _keep, may_break)
+
+    def _may_break(
+        self,
+        move: Move,
+        has_remote_copy: Callable[[str], bool],
+    ) -> bool:
+        """Tell whether the model stays reachable without this copy."""
+        if move.key.adapter:
+            return True
+        if self._inventory.has_other_copy(move.target, move.key):
+            return True
+        return has_remote_copy(move.key.model)
+
+    def _is_due(self, move: Move) -> bool:
+        """Tell whether no earlier order for the move is under way."""
+        report = self._inventory.find_report(move.target)
+        if report is None or not self._keeper.holds(move.target):
+            return False
+        if move.kind is MoveKind.SET_ROLE:
+            return False
+        for holding in report['held']:
+            is_busy = holding['state'] in {'loading', 'unloading'}
+            if is_busy and read_key(holding) == move.key:
+                return False
+        sent_at = self._sent_at.get((move.target, move.key, move.kind))
+        if sent_at is None:
+            return True
+        return self._clock.monotonic() - sent_at >= self._settings.resend_s
+
+    def _require_limits(self, move: Move) -> None:
+        share = self._settings.share
+        if move.kind is MoveKind.LOAD_ADAPTER:
+            model = HoldingKey(move.key.model, move.key.version)
+            if not self._inventory.is_ready(move.target, model):
+                raise ControlError('the model of the adapter is not ready')
+            if self._count_loading(move) >= share.adapter_loads_in_flight:
+                raise ControlError('too many adapter loads in flight')
+            return
+        if self._count_loading(move) >= share.weight_loads_at_once:
+            raise ControlError('too many weight loads at once')
+        if not self._rate.try_take():
+            raise ControlError('weight loads a second are used up')
+
+    def _count_loading(self, move: Move) -> int:
+        """Count the other loads of this kind that may be running.
+
+        An order without a trace counts until its key is ready, because it may
+        still arrive, but a target out of reach doesn't count.
+        """
+        is_adapter = bool(move.key.adapter)
+        return sum(
+            1
+            for target in self._inventory.list_reached()
+            for key in self._list_loading(target)
+            if bool(key.adapter) == is_adapter
+            and (target, key) != (move.target, move.key)
+        )
+
+    def _list_loading(self, target: str) -> frozenset[HoldingKey]:
+        report = self._inventory.find_report(target)
+        if report is None:
+            return frozenset()
+        ledger = self._keeper.get(target)
+        ready = list_ready(report)
+        shown = {
+            read_key(holding)
+            for holding in report['held']
+            if holding['state'] == 'loading'
+        }
+        expected = {
+            key
+            for key in list_keys(ledger) - ready
+            if find_sends(ledger, key, LOADS)
+        }
+        return frozenset(shown | expected)
+
+    async def _record_and_send(
+        self,
+        move: Move,
+        shape: TargetShape,
+        prepare: Callable[[LedgerDocument], LedgerDocument],
+        is_still_allowed: Callable[[], bool],
+    ) -> None:
+        """Record an order in the ledger, then send it.
+
+        The order id is void until the moment it is handed to the transport:
+        if the write's outcome is unknown or the lease lapsed, it is never
+        sent and a later reconciliation removes it.
+        """
+        order_id = f'{self._generator.getrandbits(_ORDER_ID_BITS):024x}'
+        self._inventory.void_orders.add(order_id)
+        instance = self._keeper.get(shape.name)['instance']
+        send = SendDocument(
+            order_id=order_id,
+            kind=move.kind.value,
+            key=format_key(move.key),
+            fence=self._keeper.fence,
+            instance=instance,
+        )
+        ledger = await self._keeper.change(
+            shape.name,
+            lambda current: record_send(prepare(current), send),
+        )
+        if not self._may_act() or not is_still_allowed():
+            raise ControlError('the order is no longer allowed')
+        self._inventory.void_orders.discard(order_id)
+        self._sent_at[move.target, move.key, move.kind] = (
+            self._clock.monotonic()
+        )
+        outcome = await self._admin.send_order(
+            shape.address,
+            _build_order(move, send, ledger),
+        )
+        self._note(move, order_id, outcome)
+
+    def _note(self, move: Move, order_id: str, outcome: OrderOutcome) -> None:
+        if outcome.is_void:
+            self._inventory.void_orders.add(order_id)
+            self._sent_at.pop((move.target, move.key, move.kind))
+        else:
+            self.started[move.kind] += 1
+        if outcome is OrderOutcome.UNKNOWN:
+            emit_event(ORDER_UNCERTAIN, target=move.target, order=order_id)
+            return
+        emit_event(
+            ORDER_SENT,
+            target=move.target,
+            order=order_id,
+            kind=move.kind.value,
+            key=format_key(move.key),
+            outcome=outcome.value,
+        )
+
+
+def _keep(ledger: LedgerDocument) -> LedgerDocument:
+    return ledger
+
+
+def _build_order(
+    move: Move,
+    send: SendDocument,
+    ledger: LedgerDocument,
+) -> OrderDocument:
+    order = OrderDocument(
+        order_id=send['order_id'],
+        fence=send['fence'],
+        instance=send['instance'],
+        kind=send['kind'],
+        model=move.key.model,
+        version=move.key.version,
+    )
+    if move.key.adapter:
+        order['adapter'] = move.key.adapter
+    entry = ledger['entries'].get(send['key'])
+    if entry is not None and move.kind in _LOADING:
+        order['bytes'] = entry['bytes']
+    return order
--- /dev/null
+++ b/cassiarail/control/inventory.py
@@ -0,0 +1,292 @@
+"""Read the targets' own reports and compare them with the ledgers."""
+
+import itertools
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+import anyio
+
+from cassiarail.control.events import (
+    INSTANCE_CHANGED,
+    REPORT_FAILED,
+    UNKNOWN_HOLDING,
+)
+from cassiarail.control.ledger import (
+    LOADS,
+    LedgerDocument,
+    TargetShape,
+    change_instance,
+    find_sends,
+    format_key,
+    hold,
+    is_live,
+    list_keys,
+    release,
+    resolve,
+    sum_charges,
+)
+from cassiarail.control.ledgers import LedgerKeeper
+from cassiarail.control.orders import (
+    EngineAdmin,
+    EngineReport,
+    HoldingDocument,
+    OrderDocument,
+)
+from cassiarail.core.clock import Clock
+from cassiarail.core.events import emit_event
+from cassiarail.core.exceptions import (
+    StoreError,
+    TargetError,
+    VersionConflictError,
+)
+from cassiarail.placement.backends.base import HoldingKey
+
+READY = 'ready'
+_RUNNING = 'running'
+# A target without a report of this age is treated as out of reach. Reports
+# are read every 2 s, so one lost report doesn't move any model.
+_FRESH_S = 5.0
+KvReserve = Callable[[HoldingKey], int]
+
+
+class SeenReport(NamedTuple):
+    """Hold a report and the monotonic time in seconds before it was asked."""
+
+    report: EngineReport
+    asked_at: float
+
+
+class Inventory:
+    """Hold the latest reports of the targets of a data centre."""
+
+    def __init__(
+        self,
+        keeper: LedgerKeeper,
+        admin: EngineAdmin,
+        clock: Clock,
+        kv_reserve: KvReserve,
+        fresh_s: float = _FRESH_S,
+    ) -> None:
+        """Take the function that gives the cache reserve of a key."""
+        self.void_orders: set[str] = set()
+        self._seen: dict[str, SeenReport] = {}
+        self._counter = itertools.count()
+        self._keeper = keeper
+        self._admin = admin
+        self._clock = clock
+        self._kv_reserve = kv_reserve
+        self._fresh_s = fresh_s
+
+    async def refresh_all(self, shapes: Iterable[TargetShape]) -> None:
+        """Read all reports at once; a failed one only leaves its target out.
+
+        Raises ``StaleFenceError`` if a later holder took over.
+        """
+        async with anyio.create_task_group() as group:
+            for shape in shapes:
+                group.start_soon(self._refresh_quietly, shape)
+
+    async def refresh(self, shape: TargetShape) -> None:
+        """Read one report and bring the ledger into agreement with it.
+
+        The ledger's version is noted before the report is asked for, so that
+        the report can't be older than the ledger it changes. Raises
+        ``TargetError``, ``StoreError`` and ``StaleFenceError``.
+        """
+        version = self._keeper.version(shape.name)
+        asked_at = self._clock.monotonic()
+        report = await self._admin.read_state(shape.address)
+        ledger = await self._keeper.change(
+            shape.name,
+            lambda current: reconcile(
+                current,
+                report,
+                self.void_orders,
+                self._kv_reserve,
+            ),
+            version,
+        )
+        self._seen[shape.name] = SeenReport(report, asked_at)
+        if ledger['checks_fence'] and report['fence'] < self._keeper.fence:
+            await self._send_fence(shape, ledger)
+
+    def find_report(self, target: str) -> EngineReport | None:
+        """Return the report of a target that is within reach."""
+        seen = self._seen.get(target)
+        if seen is None or not self._keeper.holds(target):
+            return None
+        if self._clock.monotonic() - seen.asked_at > self._fresh_s:
+            return None
+        return seen.report
+
+    def list_reached(self) -> list[str]:
+        """Return the targets that are within reach."""
+        return [name for name in self._seen if self.find_report(name)]
+
+    def is_ready(self, target: str, key: HoldingKey) -> bool:
+        """Tell whether a target can use a key and will go on to hold it."""
+        report = self.find_report(target)
+        if report is None or report['leaving']:
+            return False
+        ledger = self._keeper.get(target)
+        if ledger['instance'] != report['instance']:
+            return False
+        return is_live(ledger, key) and key in list_ready(report)
+
+    def list_live(self, target: str) -> frozenset[HoldingKey]:
+        """Return the keys for which ``is_ready`` holds."""
+        report = self.find_report(target)
+        if report is None:
+            return frozenset()
+        return frozenset(
+            key for key in list_ready(report) if self.is_ready(target, key)
+        )
+
+    def has_other_copy(self, target: str, key: HoldingKey) -> bool:
+        """Tell whether the model of a key is ready besides this copy."""
+        copies = (
+            (name, other) for name in self._seen for other in self._models(name)
+        )
+        return any(
+            other.model == key.model and (name, other) != (target, key)
+            for name, other in copies
+        )
+
+    async def _refresh_quietly(self, shape: TargetShape) -> None:
+        if not self._keeper.holds(shape.name):
+            return
+        try:
+            await self.refresh(shape)
+        except VersionConflictError:
+            return
+        except (TargetError, StoreError) as error:
+            emit_event(REPORT_FAILED, target=shape.name, error=str(error))
+
+    async def _send_fence(
+        self,
+        shape: TargetShape,
+        ledger: LedgerDocument,
+    ) -> None:
+        fence = self._keeper.fence
+        order = OrderDocument(
+            order_id=f'{shape.name}.fence.{fence}.{next(self._counter)}',
+            fence=fence,
+            instance=ledger['instance'],
+            kind='fence',
+        )
+        # The next report shows whether it arrived.
+        await self._admin.send_order(shape.address, order)
+
+    def _models(self, target: str) -> frozenset[HoldingKey]:
+        return frozenset(
+            key for key in self.list_live(target) if not key.adapter
+        )
+
+
+def read_key(holding: HoldingDocument) -> HoldingKey:
+    """Return the key of a holding in a report."""
+    return HoldingKey(
+        holding['model'],
+        holding['version'],
+        holding.get('adapter') or '',
+    )
+
+
+def list_ready(report: EngineReport) -> frozenset[HoldingKey]:
+    """Return the keys that a target can use."""
+    return frozenset(
+        read_key(holding)
+        for holding in report['held']
+        if holding['state'] == READY
+    )
+
+
+def reconcile(
+    ledger: LedgerDocument,
+    report: EngineReport,
+    void_orders: Iterable[str],
+    kv_reserve: KvReserve,
+) -> LedgerDocument:
+    """Return the ledger after a report that was asked for after its write.
+
+    ``void_orders`` are orders that certainly never take effect.
+    """
+    current = ledger
+    if report['instance'] != ledger['instance']:
+        if ledger['instance']:
+            emit_event(
+                INSTANCE_CHANGED,
+                target=ledger['target'],
+                instance=report['instance'],
+            )
+        current = change_instance(current, report['instance'])
+    current = resolve(current, void_orders)
+    current = resolve(current, _find_resolved(current, report))
+    current = _hold_shown(current, report, kv_reserve)
+    return _release_gone(current, report)
+
+
+def _find_resolved(
+    ledger: LedgerDocument,
+    report: EngineReport,
+) -> frozenset[str]:
+    states = {order['order_id']: order['state'] for order in report['orders']}
+    finished = {
+        order_id for order_id, state in states.items() if state != _RUNNING
+    }
+    if not ledger['checks_fence']:
+        return frozenset(finished)
+    outdated = {
+        order_id
+        for order_id, send in ledger['sends'].items()
+        if send['fence'] < report['fence'] and order_id not in states
+    }
+    return frozenset(finished | outdated)
+
+
+def _hold_shown(
+    ledger: LedgerDocument,
+    report: EngineReport,
+    kv_reserve: KvReserve,
+) -> LedgerDocument:
+    current = ledger
+    for holding in report['held']:
+        key = read_key(holding)
+        if format_key(key) not in current['entries']:
+            current = _adopt(current, holding, kv_reserve(key))
+        elif holding['state'] == READY:
+            current = hold(current, key)
+    return current
+
+
+def _adopt(
+    ledger: LedgerDocument,
+    holding: HoldingDocument,
+    kv_reserve_bytes: int,
+) -> LedgerDocument:
+    """Charge a key that was found at the target.
+
+    The cache is charged only where it fits; the weights are there already.
+    """
+    key = read_key(holding)
+    emit_event(
+        UNKNOWN_HOLDING,
+        target=ledger['target'],
+        key=format_key(key),
+    )
+    adopted = hold(ledger, key, holding['bytes'], kv_reserve_bytes)
+    if sum_charges(adopted) <= ledger['capacity_bytes']:
+        return adopted
+    return hold(ledger, key, holding['bytes'])
+
+
+def _release_gone(
+    ledger: LedgerDocument,
+    report: EngineReport,
+) -> LedgerDocument:
+    shown = {read_key(holding) for holding in report['held']}
+    current = ledger
+    for key in list_keys(ledger) - shown:
+        if not find_sends(current, key, LOADS):
+            current = release(current, key)
+    return current
--- /dev/null
+++ b/cassiarail/control/ledger.py
@@ -0,0 +1,333 @@
+"""Account for the memory that is promised at one target.
+
+The functions take a ledger and return a changed copy. A key is charged from
+before its load order is sent until the target's own report shows that it is
+gone and no load order for it can still take effect.
+"""
+
+import enum
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from typing_extensions import TypedDict
+
+from cassiarail.core.exceptions import (
+    ControlError,
+    OverpromisedMemoryError,
+    StaleFenceError,
+)
+from cassiarail.core.invariants import Invariants
+from cassiarail.placement.backends.base import HoldingKey
+
+LEDGER_KIND = 'ledger'
+_KEY_SEPARATOR = '|'
+
+
+class EntryState(enum.Enum):
+    """Name the states of a charged key."""
+
+    RESERVED = 'reserved'
+    HELD = 'held'
+    RELEASING = 'releasing'
+
+
+class OrderKind(enum.Enum):
+    """Name the orders that a target takes."""
+
+    LOAD_MODEL = 'load_model'
+    UNLOAD_MODEL = 'unload_model'
+    LOAD_ADAPTER = 'load_adapter'
+    UNLOAD_ADAPTER = 'unload_adapter'
+    SET_ROLE = 'set_role'
+    FENCE = 'fence'
+
+
+LOADS = frozenset(
+    (OrderKind.LOAD_MODEL.value, OrderKind.LOAD_ADAPTER.value),
+)
+UNLOADS = frozenset(
+    (OrderKind.UNLOAD_MODEL.value, OrderKind.UNLOAD_ADAPTER.value),
+)
+
+
+class EntryDocument(TypedDict):
+    """Hold the bytes charged for one key, over all accelerators.
+
+    ``bytes`` are the weights and ``kv_reserve_bytes`` the cache set aside for
+    them; both are multiples of the number of accelerators.
+    """
+
+    bytes: int
+    kv_reserve_bytes: int
+    state: str
+
+
+class SendDocument(TypedDict):
+    """Hold one order that may still take effect at the target."""
+
+    order_id: str
+    kind: str
+    key: str
+    fence: int
+    instance: str
+
+
+class LedgerDocument(TypedDict):
+    """Hold the ledger of one target, object ``ledger/{target}``.
+
+    ``entries`` maps formatted keys to charges, ``sends`` maps order ids to
+    unresolved orders. An empty instance means that no report was read yet.
+    """
+
+    target: str
+    accelerators: int
+    capacity_bytes: int
+    checks_fence: bool
+    fence: int
+    instance: str
+    entries: dict[str, EntryDocument]
+    sends: dict[str, SendDocument]
+
+
+class TargetShape(NamedTuple):
+    """Describe a target as declared."""
+
+    name: str
+    address: str
+    service: str
+    accelerators: int
+    accelerator_memory_bytes: int
+    checks_fence: bool
+
+    @property
+    def capacity_bytes(self) -> int:
+        """Return the memory over all accelerators."""
+        return self.accelerators * self.accelerator_memory_bytes
+
+
+def format_key(key: HoldingKey) -> str:
+    """Return a key as text for a ledger."""
+    return _KEY_SEPARATOR.join(key)
+
+
+def parse_key(text: str) -> HoldingKey:
+    """Return the key that ``format_key`` wrote."""
+    return HoldingKey(*text.split(_KEY_SEPARATOR))
+
+
+def open_ledger(shape: TargetShape, fence: int) -> LedgerDocument:
+    """Return the ledger of a target of which no report was read yet."""
+    return LedgerDocument(
+        target=shape.name,
+        accelerators=shape.accelerators,
+        capacity_bytes=shape.capacity_bytes,
+        checks_fence=shape.checks_fence,
+        fence=fence,
+        instance='',
+        entries={},
+        sends={},
+    )
+
+
+def round_bytes(size: int, accelerators: int) -> int:
+    """Return a size rounded up to an equal share for each accelerator."""
+    return -(-size // accelerators) * accelerators
+
+
+def sum_charges(ledger: LedgerDocument) -> int:
+    """Return the bytes promised at a target."""
+    return sum(
+        entry['bytes'] + entry['kv_reserve_bytes']
+        for entry in ledger['entries'].values()
+    )
+
+
+def require_capacity(ledger: LedgerDocument, invariants: Invariants) -> None:
+    """Refuse a ledger whose charges exceed the memory of its target."""
+    charged = sum_charges(ledger)
+    invariants.require(
+        charged <= ledger['capacity_bytes'],
+        'memory_within_capacity',
+        target=ledger['target'],
+        charged_bytes=charged,
+        capacity_bytes=ledger['capacity_bytes'],
+    )
+
+
+def find_sends(
+    ledger: LedgerDocument,
+    key: HoldingKey,
+    kinds: frozenset[str],
+) -> list[SendDocument]:
+    """Return the unresolved orders of some kinds for a key."""
+    text = format_key(key)
+    return [
+        send
+        for send in ledger['sends'].values()
+        if send['key'] == text and send['kind'] in kinds
+    ]
+
+
+def is_live(ledger: LedgerDocument, key: HoldingKey) -> bool:
+    """Tell whether a key is held and no unload of it can take effect."""
+    entry = ledger['entries'].get(format_key(key))
+    if entry is None or entry['state'] != EntryState.HELD.value:
+        return False
+    return not find_sends(ledger, key, UNLOADS)
+
+
+def reserve(
+    ledger: LedgerDocument,
+    key: HoldingKey,
+    size: int,
+    kv_reserve_bytes: int = 0,
+) -> LedgerDocument:
+    """Charge a key before its load is sent; a charged key stays as it is.
+
+    Raises ``OverpromisedMemoryError`` if it doesn't fit, and
+    ``ControlError`` while an unload of the key may still take effect or no
+    report of the target was read.
+    """
+    if not ledger['instance']:
+        raise ControlError(f'{ledger["target"]}: no report was read yet')
+    if find_sends(ledger, key, UNLOADS):
+        raise ControlError(f'{format_key(key)}: an unload is unresolved')
+    if format_key(key) in ledger['entries']:
+        return ledger
+    accelerators = ledger['accelerators']
+    entry = EntryDocument(
+        bytes=round_bytes(size, accelerators),
+        kv_reserve_bytes=round_bytes(kv_reserve_bytes, accelerators),
+        state=EntryState.RESERVED.value,
+    )
+    changed = _put_entry(ledger, key, entry)
+    if sum_charges(changed) > ledger['capacity_bytes']:
+        raise OverpromisedMemoryError(
+            f'{ledger["target"]}: no room for {format_key(key)}',
+        )
+    return changed
+
+
+def record_send(ledger: LedgerDocument, send: SendDocument) -> LedgerDocument:
+    """Record an order before it is sent; an unload marks its entry.
+
+    Raises ``StaleFenceError`` for an order under an older fence and
+    ``ControlError`` for a load of a key that isn't charged.
+    """
+    if send['fence'] < ledger['fence']:
+        raise StaleFenceError(f'{ledger["target"]}: fence was raised')
+    entry = ledger['entries'].get(send['key'])
+    if entry is None and send['kind'] in LOADS:
+        raise ControlError(f'{send["key"]}: memory is not reserved')
+    sends = {**ledger['sends'], send['order_id']: send}
+    changed = LedgerDocument(**{**ledger, 'sends': sends})
+    if entry is not None and send['kind'] in UNLOADS:
+        return _set_state(changed, send['key'], EntryState.RELEASING)
+    return changed
+
+
+def resolve(
+    ledger: LedgerDocument,
+    order_ids: Iterable[str],
+) -> LedgerDocument:
+    """Forget orders that can take no further effect."""
+    resolved = frozenset(order_ids)
+    sends = {
+        order_id: send
+        for order_id, send in ledger['sends'].items()
+        if order_id not in resolved
+    }
+    return LedgerDocument(**{**ledger, 'sends': sends})
+
+
+def hold(
+    ledger: LedgerDocument,
+    key: HoldingKey,
+    size: int = 0,
+    kv_reserve_bytes: int = 0,
+) -> LedgerDocument:
+    """Mark a key that the target's report shows as ready.
+
+    A key that was not charged is charged with the given sizes. An entry whose
+    unload is unresolved stays as it is.
+    """
+    text = format_key(key)
+    if text not in ledger['entries']:
+        accelerators = ledger['accelerators']
+        entry = EntryDocument(
+            bytes=round_bytes(size, accelerators),
+            kv_reserve_bytes=round_bytes(kv_reserve_bytes, accelerators),
+            state=EntryState.HELD.value,
+        )
+        return _put_entry(ledger, key, entry)
+    if find_sends(ledger, key, UNLOADS):
+        return ledger
+    return _set_state(ledger, text, EntryState.HELD)
+
+
+def release(ledger: LedgerDocument, key: HoldingKey) -> LedgerDocument:
+    """Stop charging a key that the target's report doesn't show.
+
+    Raises ``ControlError`` while a load of it may still take effect.
+    """
+    if find_sends(ledger, key, LOADS):
+        raise ControlError(f'{format_key(key)}: a load is unresolved')
+    entries = dict(ledger['entries'])
+    entries.pop(format_key(key), None)
+    return LedgerDocument(**{**ledger, 'entries': entries})
+
+
+def raise_fence(ledger: LedgerDocument, fence: int) -> LedgerDocument:
+    """Take a ledger over under a higher fence.
+
+    Raises ``StaleFenceError`` if the ledger has a higher one.
+    """
+    if ledger['fence'] > fence:
+        raise StaleFenceError(f'{ledger["target"]}: fence was raised')
+    return LedgerDocument(**{**ledger, 'fence': fence})
+
+
+def change_instance(ledger: LedgerDocument, instance: str) -> LedgerDocument:
+    """Note a new instance, at which no earlier order can take effect."""
+    sends = {
+        order_id: send
+        for order_id, send in ledger['sends'].items()
+        if send['instance'] == instance
+    }
+    return LedgerDocument(
+        **{**ledger, 'instance': instance, 'sends': sends},
+    )
+
+
+def list_keys(
+    ledger: LedgerDocument,
+    states: Iterable[EntryState] = EntryState,
+) -> frozenset[HoldingKey]:
+    """Return the charged keys in some states."""
+    names = frozenset(state.value for state in states)
+    entries: Mapping[str, EntryDocument] = ledger['entries']
+    return frozenset(
+        parse_key(text)
+        for text, entry in entries.items()
+        if entry['state'] in names
+    )
+
+
+def _put_entry(
+    ledger: LedgerDocument,
+    key: HoldingKey,
+    entry: EntryDocument,
+) -> LedgerDocument:
+    entries = {**ledger['entries'], format_key(key): entry}
+    return LedgerDocument(**{**ledger, 'entries': entries})
+
+
+def _set_state(
+    ledger: LedgerDocument,
+    text: str,
+    state: EntryState,
+) -> LedgerDocument:
+    entry = EntryDocument(
+        **{**ledger['entries'][text], 'state': state.value},
+    )
+    return _put_entry(ledger, parse_key(text), entry)
--- /dev/null
+++ b/cassiarail/control/orders.py
@@ -0,0 +1,170 @@
+"""Send orders to engines and read their reports."""
+
+import abc
+import enum
+from typing import NotRequired
+
+import httpx
+import msgspec
+from typing_extensions import TypedDict
+
+from cassiarail.core.exceptions import TargetError
+from cassiarail.core.verdict import VERDICT_HEADER, Verdict, parse_verdict
+
+_TIMEOUT_S = 2.0
+# No byte of the order has left when one of these is raised.
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class OrderDocument(TypedDict):
+    """Hold an order as it is sent; its id is used for one send only."""
+
+    order_id: str
+    fence: int
+    instance: str
+    kind: str
+    model: NotRequired[str]
+    version: NotRequired[str]
+    adapter: NotRequired[str]
+    role: NotRequired[str]
+    bytes: NotRequired[int]
+
+
+class OrderOutcome(enum.Enum):
+    """Tell what is known of one send.
+
+    ``NOT_SENT`` and the refusals mean that it never takes effect,
+    ``UNKNOWN`` that it may take effect at any later time.
+    """
+
+    ACCEPTED = 'accepted'
+    NOT_SENT = 'not_sent'
+    STALE_FENCE = 'stale_fence'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+
+    @property
+    def is_void(self) -> bool:
+        """Tell whether the order certainly never takes effect."""
+        return self in _VOID
+
+
+_VOID = frozenset(
+    (OrderOutcome.NOT_SENT, OrderOutcome.STALE_FENCE, OrderOutcome.REFUSED),
+)
+
+
+class HoldingDocument(TypedDict):
+    """Hold one key in a target's report."""
+
+    kind: str
+    model: str
+    version: str
+    adapter: NotRequired[str | None]
+    bytes: int
+    state: str
+
+
+class OrderReportDocument(TypedDict):
+    """Hold what became of one order that the instance received."""
+
+    order_id: str
+    state: str
+    error: NotRequired[str | None]
+
+
+class EngineReport(TypedDict):
+    """Hold a target's own report, current when it was sent."""
+
+    instance: str
+    fence: int
+    role: str
+    leaving: bool
+    memory_bytes: int
+    held: list[HoldingDocument]
+    orders: list[OrderReportDocument]
+
+
+class EngineAdmin(abc.ABC):
+    """Reach the administration interface of engines."""
+
+    @abc.abstractmethod
+    async def read_state(self, address: str) -> EngineReport:
+        """Return the report of an engine.
+
+        Raises ``TargetError`` if it can't be read.
+        """
+
+    @abc.abstractmethod
+    async def send_order(
+        self,
+        address: str,
+        order: OrderDocument,
+    ) -> OrderOutcome:
+        """Send an order once and tell what is known of it."""
+
+    async def aclose(self) -> None:
+        """Release all connections."""
+
+
+class HttpEngineAdmin(EngineAdmin):
+    """Reach engines over HTTP."""
+
+    def __init__(
+        self,
+        transport: httpx.AsyncBaseTransport | None = None,
+        timeout_s: float = _TIMEOUT_S,
+    ) -> None:
+        """Use a transport; ``None`` stands for TCP."""
+        self._client = httpx.AsyncClient(
+            transport=transport,
+            timeout=timeout_s,
+        )
+
+    async def read_state(self, address: str) -> EngineReport:
+        """Return the report of an engine."""
+        try:
+            answer = await self._client.get(f'http://{address}/admin/state')
+        except httpx.HTTPError as error:
+            raise TargetError(f'{address}: {error!r}') from error
+        if answer.status_code != httpx.codes.OK:
+            raise TargetError(f'{address} answered {answer.status_code}')
+        try:
+            return msgspec.json.decode(answer.content, type=EngineReport)
+        except msgspec.MsgspecError as error:
+            raise TargetError(f'{address}: unreadable report') from error
+
+    async def send_order(
+        self,
+        address: str,
+        order: OrderDocument,
+    ) -> OrderOutcome:
+        """Send an order once and tell what is known of it."""
+        try:
+            answer = await self._client.post(
+                f'http://{address}/admin/orders',
+                content=msgspec.json.encode(order),
+                headers={'Content-Type': 'application/json'},
+            )
+        except _NOT_SENT:
+            return OrderOutcome.NOT_SENT
+        except httpx.HTTPError:
+            return OrderOutcome.UNKNOWN
+        return _classify(answer)
+
+    async def aclose(self) -> None:
+        """Release all connections."""
+        await self._client.aclose()
+
+
+def _classify(answer: httpx.Response) -> OrderOutcome:
+    if answer.status_code == httpx.codes.ACCEPTED:
+        return OrderOutcome.ACCEPTED
+    if answer.status_code == httpx.codes.CONFLICT:
+        if b'stale_fence' in answer.content:
+            return OrderOutcome.STALE_FENCE
+        return OrderOutcome.REFUSED
+    verdict = parse_verdict(answer.headers.get(VERDICT_HEADER))
+    if verdict is Verdict.NOT_RUN or answer.is_client_error:
+        return OrderOutcome.REFUSED
+    return OrderOutcome.UNKNOWN
--- /dev/null
+++ b/cassiarail/controller/__init__.py
@@ -0,0 +1,1 @@
+"""Run the control loop of a data centre."""
--- /dev/null
+++ b/cassiarail/controller/events.py
@@ -0,0 +1,26 @@
+"""Define the log events of the controller."""
+
+from absl import logging
+
+from cassiarail.core.events import define_event
+
+TENURE_STARTED = define_event(
+    number=3101,
+    level=logging.INFO,
+    summary='controller took over the placement of its data centre',
+)
+TENURE_ENDED = define_event(
+    number=3102,
+    level=logging.INFO,
+    summary='controller no longer places models',
+)
+STORE_FAILED = define_event(
+    number=3103,
+    level=logging.WARNING,
+    summary='object API failed; nothing is changed',
+)
+MODEL_UNPLACED = define_event(
+    number=3104,
+    level=logging.WARNING,
+    summary='model has no place in the plan',
+)
--- /dev/null
+++ b/cassiarail/controller/loops.py
@@ -0,0 +1,116 @@
+"""Compete for the placement of a data centre and carry it out."""
+
+import random
+
+from cassiarail.controller.events import (
+    STORE_FAILED,
+    TENURE_ENDED,
+    TENURE_STARTED,
+)
+from cassiarail.controller.status import StatusDocument
+from cassiarail.controller.tenure import ControlParts, Tenure
+from cassiarail.core.clock import Clock
+from cassiarail.core.events import emit_event
+from cassiarail.core.exceptions import StaleFenceError, StoreError
+from cassiarail.core.lifecycle import Component
+from cassiarail.store.leases import Lease
+
+_RENEWALS_PER_DURATION = 3
+_JITTER = 0.2
+
+
+def spread(seconds: float, generator: random.Random) -> float:
+    """Return a period changed at random, so that processes drift apart."""
+    return seconds * generator.uniform(1 - _JITTER, 1 + _JITTER)
+
+
+class LeaseLoop(Component):
+    """Acquire and renew a lease."""
+
+    def __init__(
+        self,
+        lease: Lease,
+        duration_s: float,
+        clock: Clock,
+        generator: random.Random,
+    ) -> None:
+        """Try three times in each duration of the lease."""
+        self.name = f'lease-{lease.name}'
+        self._lease = lease
+        self._period_s = duration_s / _RENEWALS_PER_DURATION
+        self._clock = clock
+        self._generator = generator
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        while True:
+            try:
+                await self._lease.attempt()
+            except StoreError as error:
+                emit_event(STORE_FAILED, error=str(error))
+            await self._clock.sleep(spread(self._period_s, self._generator))
+
+    async def stop(self) -> None:
+        """Give the lease back."""
+        await self._lease.release()
+
+
+class PlacementLoop(Component):
+    """Place models while the lease is held; do nothing otherwise."""
+
+    name = 'placement'
+
+    def __init__(
+        self,
+        parts: ControlParts,
+        lease: Lease,
+        interval_s: float,
+    ) -> None:
+        """Do one round of placement each ``interval_s`` seconds."""
+        self.status: StatusDocument | None = None
+        self._parts = parts
+        self._lease = lease
+        self._interval_s = interval_s
+        self._tenure: Tenure | None = None
+        self._is_draining = False
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        while not self._is_draining:
+            await self.step()
+            await self._parts.clock.sleep(
+                spread(self._interval_s, self._parts.generator),
+            )
+
+    async def drain(self) -> None:
+        """Start no further round."""
+        self._is_draining = True
+
+    async def stop(self) -> None:
+        """Release the connections to engines."""
+        await self._parts.admin.aclose()
+
+    async def step(self) -> None:
+        """Do one round if the lease is held."""
+        declarations = self._parts.declarations()
+        if declarations is None or not self._lease.is_held():
+            self._end()
+            return
+        tenure = self._tenure
+        if tenure is None or tenure.fence != self._lease.fence:
+            tenure = Tenure(self._parts, self._lease, declarations)
+            self._tenure = tenure
+            emit_event(TENURE_STARTED, fence=tenure.fence)
+        try:
+            self.status = await tenure.step(declarations)
+        except StaleFenceError:
+            self._end()
+            await self._lease.release()
+        except StoreError as error:
+            emit_event(STORE_FAILED, error=str(error))
+
+    def _end(self) -> None:
+        if self._tenure is not None:
+            emit_event(TENURE_ENDED, fence=self._tenure.fence)
+        self._tenure = None
+        self.status = None
--- /dev/null
+++ b/cassiarail/controller/situation.py
@@ -0,0 +1,165 @@
+"""Build what a placement policy considers from declarations and statuses."""
+
+import abc
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple, cast
+
+from cassiarail.control.executor import KeySize
+from cassiarail.control.ledger import TargetShape, parse_key
+from cassiarail.controller.status import StatusDocument, TargetStatus
+from cassiarail.declarations.schema import (
+    DeclarationsDocument,
+    ModelDocument,
+    Policy,
+    ServiceDocument,
+    TargetDocument,
+)
+from cassiarail.placement.backends.base import (
+    HoldingKey,
+    ModelNeed,
+    PlacementInput,
+    TargetRoom,
+)
+
+_ENGINE = 'engine'
+_DEFAULT_REPLICAS_MAX = 64
+_DEFAULT_DATA_CENTRES = 2
+
+
+class Forecast(NamedTuple):
+    """Hold the forecast load of a model in concurrent requests."""
+
+    demand: float
+    variance: float
+
+
+class DemandSource(abc.ABC):
+    """Tell what is asked of the models and what the targets can serve."""
+
+    @abc.abstractmethod
+    def forecast(self) -> Mapping[str, Forecast]:
+        """Return the forecast of each model by name."""
+
+    @abc.abstractmethod
+    def read_capacity(self, target: str) -> float:
+        """Return the concurrent requests a target serves at full speed."""
+
+
+def list_shapes(
+    declarations: DeclarationsDocument,
+    data_centre: str,
+) -> dict[str, TargetShape]:
+    """Return the engines of a data centre by name."""
+    return {
+        target['name']: _shape(service, target)
+        for service in declarations['services']
+        if service['kind'] == _ENGINE
+        for target in service['targets']
+        if target['data_centre'] == data_centre
+    }
+
+
+def list_sizes(
+    declarations: DeclarationsDocument,
+) -> dict[HoldingKey, KeySize]:
+    """Return what each declared model and adapter takes."""
+    sizes: dict[HoldingKey, KeySize] = {}
+    for model in declarations['models']:
+        policy = resolve_policy(declarations, model)
+        key = HoldingKey(model['name'], model['version'])
+        sizes[key] = KeySize(
+            model['bytes'],
+            policy.get('kv_reserve_bytes', 0),
+        )
+        for adapter in model['adapters']:
+            sizes[key._replace(adapter=adapter['name'])] = KeySize(
+                adapter['bytes'],
+            )
+    return sizes
+
+
+def resolve_policy(
+    declarations: DeclarationsDocument,
+    model: ModelDocument,
+) -> Policy:
+    """Return the defaults as changed by the exceptions for a model."""
+    resolved = dict(declarations['fleet']['defaults'])
+    for exception in declarations['exceptions']:
+        names = dict(exception['match'])
+        wanted = {'model': model['name'], 'service': model['service']}
+        if names and names.items() <= wanted.items():
+            resolved.update(exception['set'])
+    return cast(Policy, resolved)
+
+
+def build_situation(
+    declarations: DeclarationsDocument,
+    statuses: Iterable[StatusDocument],
+    demand: DemandSource,
+) -> PlacementInput:
+    """Return the needs of all models and the room of all reached targets."""
+    forecasts = demand.forecast()
+    return PlacementInput(
+        models=tuple(
+            _need(declarations, model, forecasts)
+            for model in declarations['models']
+        ),
+        targets=tuple(
+            _room(status['data_centre'], target)
+            for status in statuses
+            for target in status['targets']
+            if target['reached']
+        ),
+        move_price=declarations['fleet']['defaults'].get('move_price', 0),
+    )
+
+
+def _shape(service: ServiceDocument, target: TargetDocument) -> TargetShape:
+    return TargetShape(
+        target['name'],
+        target['address'],
+        service['name'],
+        target['accelerators'],
+        target['accelerator_memory_bytes'],
+        service['checks_fence'],
+    )
+
+
+def _need(
+    declarations: DeclarationsDocument,
+    model: ModelDocument,
+    forecasts: Mapping[str, Forecast],
+) -> ModelNeed:
+    policy = resolve_policy(declarations, model)
+    forecast = forecasts.get(model['name'], Forecast(0, 0))
+    return ModelNeed(
+        key=HoldingKey(model['name'], model['version']),
+        service=model['service'],
+        bytes=model['bytes'],
+        kv_reserve_bytes=policy.get('kv_reserve_bytes', 0),
+        demand=forecast.demand,
+        variance=forecast.variance,
+        adapters={
+            adapter['name']: adapter['bytes'] for adapter in model['adapters']
+        },
+        replicas_min=policy.get('replicas_min', 1),
+        replicas_max=policy.get('replicas_max', _DEFAULT_REPLICAS_MAX),
+        data_centres=policy.get(
+            'data_centres_per_model',
+            _DEFAULT_DATA_CENTRES,
+        ),
+        pinned_targets=frozenset(policy.get('pinned_targets', ())),
+        forbidden_targets=frozenset(policy.get('forbidden_targets', ())),
+    )
+
+
+def _room(data_centre: str, target: TargetStatus) -> TargetRoom:
+    return TargetRoom(
+        name=target['name'],
+        service=target['service'],
+        data_centre=data_centre,
+        memory_bytes=target['memory_bytes'],
+        capacity=target['capacity'],
+        held=frozenset(parse_key(text) for text in target['held']),
+        leaving=target['leaving'],
+    )
--- /dev/null
+++ b/cassiarail/controller/status.py
@@ -0,0 +1,136 @@
+"""Publish what a data centre holds and read what the others hold."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple, cast
+
+from typing_extensions import TypedDict
+
+from cassiarail.control.ledger import parse_key
+from cassiarail.core.clock import Clock
+from cassiarail.core.exceptions import StaleFenceError
+from cassiarail.store.backends.base import StoredObject
+from cassiarail.store.writes import ConditionalWriter
+
+STATUS_KIND = 'status'
+# A data centre whose status didn't change for this time counts as absent.
+# The status is written every 5 s, so three lost writes in a row are borne.
+_ABSENT_AFTER_S = 20.0
+
+
+class TargetStatus(TypedDict):
+    """Hold what is promised and held at one target, in formatted keys.
+
+    ``live`` are the keys that are ready and stay so.
+    """
+
+    name: str
+    service: str
+    memory_bytes: int
+    charged_bytes: int
+    unresolved_orders: int
+    capacity: float
+    reached: bool
+    leaving: bool
+    held: list[str]
+    live: list[str]
+
+
+class StatusDocument(TypedDict):
+    """Hold the status of a data centre, object ``status/{data_centre}``."""
+
+    data_centre: str
+    holder: str
+    fence: int
+    written_at: float
+    targets: list[TargetStatus]
+    unplaced: dict[str, str]
+    moves: dict[str, int]
+
+
+class _Seen(NamedTuple):
+    version: int
+    changed_at: float
+    document: StatusDocument
+
+
+class StatusBoard:
+    """Write the status of one data centre and read those of the others."""
+
+    def __init__(
+        self,
+        writer: ConditionalWriter,
+        data_centre: str,
+        clock: Clock,
+        absent_after_s: float = _ABSENT_AFTER_S,
+    ) -> None:
+        """Name the own data centre."""
+        self._writer = writer
+        self._data_centre = data_centre
+        self._clock = clock
+        self._absent_after_s = absent_after_s
+        self._seen: dict[str, _Seen] = {}
+
+    async def publish(self, status: StatusDocument) -> None:
+        """Write the own status.
+
+        Raises ``StaleFenceError`` if a later holder wrote it, and
+        ``StoreError``.
+        """
+        await self._writer.update(
+            STATUS_KIND,
+            self._data_centre,
+            lambda found: _supersede(found, status),
+        )
+
+    async def refresh(self) -> None:
+        """Read the statuses of the other data centres.
+
+        Ages count by the own clock from when a version was first seen.
+        """
+        listing = await self._writer.store.list_objects(STATUS_KIND)
+        for stored in listing.entries:
+            if stored.name != self._data_centre:
+                self._note(stored)
+
+    def list_present(self) -> list[StatusDocument]:
+        """Return the statuses that changed lately."""
+        now = self._clock.monotonic()
+        return [
+            seen.document
+            for seen in self._seen.values()
+            if now - seen.changed_at <= self._absent_after_s
+        ]
+
+    def has_copy(self, data_centres: Sequence[str], model: str) -> bool:
+        """Tell whether one of some data centres has a model ready."""
+        return any(
+            _has_model(status, model)
+            for status in self.list_present()
+            if status['data_centre'] in data_centres
+        )
+
+    def _note(self, stored: StoredObject) -> None:
+        known = self._seen.get(stored.name)
+        if known is None or known.version != stored.version:
+            self._seen[stored.name] = _Seen(
+                stored.version,
+                self._clock.monotonic(),
+                cast(StatusDocument, stored.document),
+            )
+
+
+def _has_model(status: StatusDocument, model: str) -> bool:
+    return any(
+        key.model == model and not key.adapter
+        for target in status['targets']
+        for key in map(parse_key, target['live'])
+    )
+
+
+def _supersede(
+    found: Mapping[str, Any] | None,
+    status: StatusDocument,
+) -> StatusDocument:
+    if found is not None and found['fence'] > status['fence']:
+        raise StaleFenceError('a later holder wrote the status')
+    return status
--- /dev/null
+++ b/tests/control/engines.py
@@ -0,0 +1,106 @@
+"""Model engines for the tests of the control, with a simple oracle."""
+
+from cassiarail.control.orders import EngineAdmin, OrderOutcome
+from cassiarail.core.exceptions import TargetError
+from cassiarail.placement.backends.base import HoldingKey
+
+
+class EngineModel:
+    """Hold the memory of one engine and check what orders do to it."""
+
+    def __init__(self, name, memory_bytes, checks_fence):
+        self.name = name
+        self.memory_bytes = memory_bytes
+        self.checks_fence = checks_fence
+        self.starts = 0
+        self.reachable = True
+        self.leaving = False
+        self.overflowed = False
+        self.restart()
+
+    def restart(self):
+        self.starts += 1
+        self.instance = f'{self.name}.{self.starts}'
+        self.fence = 0
+        self.held = {}
+        self.orders = {}
+        self.work = []
+
+    def receive(self, order):
+        if order['instance'] != self.instance:
+            return OrderOutcome.REFUSED
+        if self.checks_fence:
+            if order['fence'] < self.fence:
+                return OrderOutcome.STALE_FENCE
+            self.fence = order['fence']
+        assert order['order_id'] not in self.orders
+        if order['kind'] == 'fence':
+            return OrderOutcome.ACCEPTED
+        self.orders[order['order_id']] = 'running'
+        key = HoldingKey(
+            order['model'], order['version'], order.get('adapter', '')
+        )
+        if order['kind'].startswith('load'):
+            self.held.setdefault(key, [order['bytes'], 'loading'])
+            self.overflowed |= self.used() > self.memory_bytes
+        elif key in self.held:
+            self.held[key][1] = 'unloading'
+        self.work.append((order['order_id'], order['kind'], key))
+        return OrderOutcome.ACCEPTED
+
+    def advance(self):
+        """Finish the oldest running order."""
+        if not self.work:
+            return
+        order_id, kind, key = self.work.pop(0)
+        self.orders[order_id] = 'done'
+        if kind.startswith('unload'):
+            self.held.pop(key, None)
+        elif key in self.held:
+            self.held[key][1] = 'ready'
+        else:
+            self.orders[order_id] = 'failed'
+
+    def used(self):
+        return sum(size for size, _state in self.held.values())
+
+    def report(self):
+        return {
+            'instance': self.instance,
+            'fence': self.fence,
+            'role': 'any',
+            'leaving': self.leaving,
+            'memory_bytes': self.memory_bytes,
+            'held': [
+                {
+                    'kind': 'adapter' if key.adapter else 'model',
+                    'model': key.model,
+                    'version': key.version,
+                    'adapter': key.adapter,
+                    'bytes': size,
+                    'state': state,
+                }
+                for key, (size, state) in self.held.items()
+            ],
+            'orders': [
+                {'order_id': order_id, 'state': state}
+                for order_id, state in self.orders.items()
+            ],
+        }
+
+
+class ModelAdmin(EngineAdmin):
+    """Reach engine models by address, which is their name."""
+
+    def __init__(self, engines):
+        self.engines = engines
+
+    async def read_state(self, address):
+        if not self.engines[address].reachable:
+            raise TargetError('out of reach')
+        return self.engines[address].report()
+
+    async def send_order(self, address, order):
+        if not self.engines[address].reachable:
+            return OrderOutcome.NOT_SENT
+        return self.engines[address].receive(order)
