Step two controllers through every interleaving

A state machine drives two controllers pause by pause against engine models, with late and lost orders, restarts and store faults.

--- /dev/null
+++ b/tests/control/machine.py
@@ -0,0 +1,231 @@
+"""Step controllers by hand, so that tests choose every interleaving."""
+
+import random
+
+from cassiarail.control.executor import Executor, ExecutorSettings, KeySize
+from cassiarail.control.inventory import Inventory
+from cassiarail.control.ledger import TargetShape
+from cassiarail.control.ledgers import LedgerKeeper
+from cassiarail.control.orders import OrderOutcome
+from cassiarail.control.rates import LoadShare
+from cassiarail.core.clock import ManualClock
+from cassiarail.core.exceptions import StaleFenceError, StoreError, TargetError
+from cassiarail.core.invariants import Invariants
+from cassiarail.placement.backends.base import (
+    HoldingKey,
+    Move,
+    MoveKind,
+    Plan,
+)
+from cassiarail.store.backends.memory import MemoryObjectStore
+from cassiarail.store.leases import Lease
+from cassiarail.store.writes import ConditionalWriter
+from tests.control.engines import ModelAdmin
+
+LEASE_S = 10.0
+KEYS = tuple(HoldingKey(name, 'v1') for name in ('a', 'b', 'c'))
+SIZES = {
+    KEYS[0]: KeySize(39, 2),
+    KEYS[1]: KeySize(31),
+    KEYS[2]: KeySize(58, 1),
+}
+
+
+class Pause:
+    """Suspend a hand-driven coroutine once."""
+
+    def __await__(self):
+        yield self
+
+
+class SteppedClock(ManualClock):
+    async def sleep(self, seconds):
+        self.advance(seconds)
+        await Pause()
+
+
+class SteppedStore(MemoryObjectStore):
+    """Pause before and after each call takes effect."""
+
+    def __init__(self):
+        super().__init__()
+        self.ledger_fences = {}
+        self.stale_writes = 0
+
+    async def read(self, kind, name):
+        await Pause()
+        found = await super().read(kind, name)
+        await Pause()
+        return found
+
+    async def create(self, kind, name, document):
+        await Pause()
+        try:
+            return await super().create(kind, name, document)
+        finally:
+            self._watch(kind, name)
+            await Pause()
+
+    async def replace(self, kind, name, document, version):
+        await Pause()
+        try:
+            return await super().replace(kind, name, document, version)
+        finally:
+            self._watch(kind, name)
+            await Pause()
+
+    def _watch(self, kind, name):
+        stored = self.peek(kind, name)
+        if kind == 'ledger' and stored is not None:
+            fence = stored.document['fence']
+            if fence < self.ledger_fences.get(name, 0):
+                self.stale_writes += 1
+            self.ledger_fences[name] = fence
+
+
+class SteppedAdmin(ModelAdmin):
+    """Pause around calls; the machine decides what becomes of orders."""
+
+    def __init__(self, world):
+        super().__init__(world.engines)
+        self.world = world
+        self.seen = {}
+
+    async def read_state(self, address):
+        await Pause()
+        report = await super().read_state(address)
+        self.seen[address] = report['instance']
+        await Pause()
+        return report
+
+    async def send_order(self, address, order):
+        self.world.evidence[order['order_id']] = dict(self.seen)
+        await Pause()
+        fate = self.world.fate
+        if fate == 'lose':
+            return OrderOutcome.UNKNOWN
+        if fate == 'late':
+            self.world.late.append((address, order))
+            return OrderOutcome.UNKNOWN
+        outcome = await super().send_order(address, order)
+        await Pause()
+        if fate == 'unanswered' and not outcome.is_void:
+            return OrderOutcome.UNKNOWN
+        return outcome
+
+
+class Controller:
+    """Hold one controller and the operation that it is in."""
+
+    def __init__(self, name, world):
+        self.world = world
+        self.random = random.Random(name)
+        self.writer = ConditionalWriter(
+            world.store, world.clock, self.random, LEASE_S / 4
+        )
+        self.lease = Lease(
+            self.writer, 'dc.placement', name, world.clock, self.random, LEASE_S
+        )
+        self.admin = SteppedAdmin(world)
+        self.tenure = None
+        self.running = None
+
+    def begin(self, operation):
+        assert self.running is None
+        self.running = operation
+
+    def step(self):
+        """Go on to the next pause."""
+        try:
+            self.running.send(None)
+        except StopIteration:
+            self.running = None
+        except StaleFenceError:
+            self.running = None
+            self.tenure = None
+        except (StoreError, TargetError):
+            self.running = None
+
+    def finish(self):
+        while self.running is not None:
+            self.step()
+
+    async def compete(self):
+        await self.lease.attempt()
+
+    async def take_over(self):
+        if not self.lease.is_held():
+            return
+        if self.tenure is None or self.tenure.fence != self.lease.fence:
+            self.tenure = Tenure(self, self.lease.fence)
+        await self.tenure.keeper.take_over(self.world.shapes.values())
+        self.tenure.ready = True
+
+    async def refresh(self, target):
+        if self.is_acting() and self.tenure.keeper.holds(target):
+            await self.tenure.inventory.refresh(self.world.shapes[target])
+
+    async def move(self, kind, target, key):
+        if self.is_acting():
+            plan = Plan({}, (Move(kind, target, key),), {})
+            await self.tenure.executor.execute(
+                plan, self.world.shapes, SIZES, lambda _model: False
+            )
+
+    def is_acting(self):
+        # A paused holder goes on although its lease may have lapsed, so this
+        # check is only made where an operation starts.
+        return self.tenure is not None and self.tenure.ready
+
+
+class Tenure:
+    def __init__(self, controller, fence):
+        world = controller.world
+        self.fence = fence
+        self.ready = False
+        self.invariants = Invariants()
+        self.keeper = LedgerKeeper(controller.writer, self.invariants, fence)
+        self.inventory = Inventory(
+            self.keeper,
+            controller.admin,
+            world.clock,
+            lambda key: SIZES[key].kv_reserve_bytes,
+        )
+        self.executor = Executor(
+            self.keeper,
+            self.inventory,
+            controller.admin,
+            lambda: (
+                controller.lease.is_held() and controller.lease.fence == fence
+            ),
+            ExecutorSettings(LoadShare(1000, 10, 10), resend_s=2),
+            world.clock,
+            controller.random,
+        )
+
+
+class World:
+    """Hold two controllers, their store and their targets."""
+
+    def __init__(self, engines):
+        self.clock = SteppedClock()
+        self.store = SteppedStore()
+        self.engines = {engine.name: engine for engine in engines}
+        self.fate = 'deliver'
+        self.late = []
+        self.evidence = {}
+        self.shapes = {
+            engine.name: TargetShape(
+                engine.name,
+                engine.name,
+                'llm',
+                4,
+                engine.memory_bytes // 4,
+                engine.checks_fence,
+            )
+            for engine in engines
+        }
+        self.controllers = [Controller(name, self) for name in 'xy']
+
+
+__all__ = ('KEYS', 'SIZES', 'Controller', 'MoveKind', 'World')
--- /dev/null
+++ b/tests/control/test_machine.py
@@ -0,0 +1,250 @@
+"""Guard memory and last copies against paused holders and late orders."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from cassiarail.control.ledger import sum_charges
+from tests.control.engines import EngineModel
+from tests.control.machine import KEYS, LEASE_S, MoveKind, World
+
+TARGETS = ('t1', 't2')
+who = st.sampled_from([0, 1])
+where = st.sampled_from(TARGETS)
+
+
+class ControlMachine(RuleBasedStateMachine):
+    """Compare ledgers and engines with what must never happen."""
+
+    checks_fence = True
+
+    def __init__(self):
+        super().__init__()
+        engines = [
+            EngineModel(name, 100, self.checks_fence) for name in TARGETS
+        ]
+        self.world = World(engines)
+        self.removed_last = []
+        self.watch_unloads()
+        # Start from a data centre that holds something.
+        self.do(0, self.world.controllers[0].compete())
+        self.do(0, self.world.controllers[0].take_over())
+        self.load(0, KEYS[0], 't1')
+
+    def watch_unloads(self):
+        """Note each unload that takes a model's last ready copy away."""
+        for engine in self.world.engines.values():
+            engine.receive = self.wrap(engine.receive)
+
+    def wrap(self, receive):
+        def checked(order):
+            before = self.count_ready(order.get('model'))
+            outcome = receive(order)
+            after = self.count_ready(order.get('model'))
+            if before and not after and not self.has_crashed_since(order):
+                self.removed_last.append(order)
+            return outcome
+
+        return checked
+
+    def has_crashed_since(self, order):
+        """Tell whether a target restarted after the sender's last report.
+
+        No sender can know of such a restart.
+        """
+        evidence = self.world.evidence[order['order_id']]
+        return any(
+            self.world.engines[name].instance != instance
+            for name, instance in evidence.items()
+        )
+
+    def count_ready(self, model):
+        return sum(
+            key.model == model and state == 'ready'
+            for engine in self.world.engines.values()
+            for key, (_size, state) in engine.held.items()
+        )
+
+    def do(self, index, operation):
+        controller = self.world.controllers[index]
+        controller.finish()
+        controller.begin(operation)
+        controller.finish()
+
+    def load(self, index, key, target):
+        controller = self.world.controllers[index]
+        self.do(index, controller.refresh(target))
+        self.world.clock.advance(0.1)
+        self.do(index, controller.move(MoveKind.LOAD_MODEL, target, key))
+        self.world.engines[target].advance()
+        self.do(index, controller.refresh(target))
+
+    def idle(self, index):
+        return self.world.controllers[index].running is None
+
+    @rule(index=who, steps=st.integers(1, 12))
+    def step(self, index, steps):
+        for _turn in range(steps):
+            if not self.idle(index):
+                self.world.controllers[index].step()
+
+    @rule(index=who, finish=st.booleans())
+    def compete(self, index, finish):
+        if self.idle(index):
+            controller = self.world.controllers[index]
+            controller.begin(controller.compete())
+            if finish:
+                controller.finish()
+
+    @rule(index=who, finish=st.booleans())
+    def take_over(self, index, finish):
+        if self.idle(index):
+            controller = self.world.controllers[index]
+            controller.begin(controller.take_over())
+            if finish:
+                controller.finish()
+
+    @rule(index=who, name=where, finish=st.booleans())
+    def refresh(self, index, name, finish):
+        if self.idle(index):
+            controller = self.world.controllers[index]
+            controller.begin(controller.refresh(name))
+            if finish:
+                controller.finish()
+
+    @rule(
+        index=who,
+        kind=st.sampled_from([MoveKind.LOAD_MODEL, MoveKind.UNLOAD_MODEL]),
+        name=where,
+        key=st.sampled_from(KEYS),
+        finish=st.booleans(),
+    )
+    def move(self, index, kind, name, key, finish):
+        if self.idle(index):
+            controller = self.world.controllers[index]
+            controller.begin(controller.move(kind, name, key))
+            if finish:
+                controller.finish()
+
+    @rule(index=who, key=st.sampled_from(KEYS), name=where)
+    def place(self, index, key, name):
+        """Go through a whole load, so that runs reach full targets."""
+        self.load(index, key, name)
+
+    @rule(index=who)
+    def fail_over(self, index):
+        """Let the lease lapse and the other controller take it."""
+        controller = self.world.controllers[index]
+        self.do(index, controller.compete())
+        self.world.clock.advance(LEASE_S * 1.2)
+        self.do(index, controller.compete())
+        self.do(index, controller.take_over())
+        for target in TARGETS:
+            self.do(index, controller.refresh(target))
+
+    @rule(seconds=st.sampled_from([0.5, 3, LEASE_S * 1.2]))
+    def wait(self, seconds):
+        self.world.clock.advance(seconds)
+
+    @rule(name=where)
+    def work(self, name):
+        self.world.engines[name].advance()
+
+    @rule(fate=st.sampled_from(['deliver', 'lose', 'late', 'unanswered']))
+    def choose_fate(self, fate):
+        self.world.fate = fate
+
+    @precondition(lambda self: self.world.late)
+    @rule(turn=st.integers(0, 9))
+    def deliver_late(self, turn):
+        late = self.world.late
+        address, order = late.pop(turn % len(late))
+        self.world.engines[address].receive(order)
+
+    @rule(name=where)
+    def restart(self, name):
+        self.world.engines[name].restart()
+
+    @rule(name=where)
+    def toggle_reach(self, name):
+        engine = self.world.engines[name]
+        engine.reachable = not engine.reachable
+
+    @rule(fault=st.sampled_from(['lose', 'drop', 'outage', 'none']))
+    def fail_store(self, fault):
+        switches = self.world.store.switches
+        switches.lose_answers = int(fault == 'lose')
+        switches.drop_writes = int(fault == 'drop')
+        switches.outage = fault == 'outage'
+
+    @invariant()
+    def promises_fit(self):
+        for target in TARGETS:
+            stored = self.world.store.peek('ledger', target)
+            if stored is not None:
+                assert sum_charges(stored.document) <= 100
+
+    @invariant()
+    def memory_fits(self):
+        for engine in self.world.engines.values():
+            assert not engine.overflowed
+
+    @invariant()
+    def memory_is_charged(self):
+        """What an engine holds by our orders is in its ledger."""
+        for engine in self.world.engines.values():
+            entries = self.world.store.peek('ledger', engine.name).document[
+                'entries'
+            ]
+            for key in engine.held:
+                assert '|'.join(key) in entries
+
+    @invariant()
+    def last_copies_stay(self):
+        assert not self.removed_last
+
+    @invariant()
+    def fences_only_rise(self):
+        assert not self.world.store.stale_writes
+
+    @invariant()
+    def no_invariant_was_refused(self):
+        for controller in self.world.controllers:
+            if controller.tenure is not None:
+                assert not controller.tenure.invariants.broken
+
+    @invariant()
+    def one_holder(self):
+        holders = [
+            controller.lease
+            for controller in self.world.controllers
+            if controller.lease.is_held()
+        ]
+        assert len(holders) <= 1
+
+    def teardown(self):
+        for controller in self.world.controllers:
+            if controller.running is not None:
+                controller.running.close()
+
+
+class LenientMachine(ControlMachine):
+    """Use targets that ignore fencing numbers."""
+
+    checks_fence = False
+
+
+@pytest.mark.parametrize('machine', [ControlMachine, LenientMachine])
+def test_no_interleaving_breaks_memory_or_last_copies(machine):
+    """Pauses, late orders, restarts and store faults in any order."""
+    run_state_machine_as_test(
+        machine,
+        settings=settings(max_examples=150, stateful_step_count=60),
+    )
