Add stand-ins for engines, services, objects, weights and hosts

Cause: the gateway and the controller need outside systems to run against, both in virtual time and on TCP. Change: ASGI applications with faults by name and seed, records of what ran, and an owner (Standins) that crashes, restarts and stops targets on the in-process network or on hypercorn ports. Conclusion: other components can be joined to the stand-ins.

--- /dev/null
+++ b/cassiarail/standins/hosts.py
@@ -0,0 +1,94 @@
+"""Stand in for the lagging host list (docs/design.md, section 4.5)."""
+
+import collections
+from typing import NamedTuple
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from cassiarail.core.clock import Clock
+from cassiarail.standins import answers
+from cassiarail.standins.faults import FaultName, Faults
+
+LIVE = 'live'
+LEAVING = 'leaving'
+
+
+class HostEntry(NamedTuple):
+    """Describe a host; ``role`` is ``entry`` or ``target``."""
+
+    name: str
+    data_centre: str
+    address: str
+    role: str
+    service: str = ''
+    state: str = LIVE
+
+
+class _Change(NamedTuple):
+    changed_at: float
+    name: str
+    entry: HostEntry | None
+
+
+class HostList:
+    """List hosts as they were some seconds ago."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        faults: Faults,
+        lag_s: float = 2,
+    ) -> None:
+        """Take the usual lag; the fault ``host_list_lag`` adds to it."""
+        self._clock = clock
+        self._faults = faults
+        self._lag_s = lag_s
+        self._current: dict[str, HostEntry] = {}
+        self._shown: dict[str, HostEntry] = {}
+        self._pending: collections.deque[_Change] = collections.deque()
+        self.application = Starlette(
+            routes=[Route('/hosts', self._list_hosts)],
+        )
+
+    def publish(self, entry: HostEntry) -> None:
+        """Show a host at once, as at the start of a scenario."""
+        self._current[entry.name] = entry
+        self._shown[entry.name] = entry
+
+    def change(self, entry: HostEntry) -> None:
+        """Add or change a host; callers see it after the lag."""
+        self._current[entry.name] = entry
+        now = self._clock.monotonic()
+        self._pending.append(_Change(now, entry.name, entry))
+
+    def set_state(self, name: str, state: str) -> None:
+        """Change the state of a host."""
+        self.change(self._current[name]._replace(state=state))
+
+    def remove(self, name: str) -> None:
+        """Remove a host; callers see it after the lag."""
+        self._current.pop(name, None)
+        now = self._clock.monotonic()
+        self._pending.append(_Change(now, name, None))
+
+    def list_shown(self) -> list[HostEntry]:
+        """Return the hosts as callers see them now."""
+        lag_s = self._lag_s + self._faults.delay_of(FaultName.HOST_LIST_LAG)
+        until = self._clock.monotonic() - lag_s
+        while self._pending and self._pending[0].changed_at <= until:
+            change = self._pending.popleft()
+            if change.entry is None:
+                self._shown.pop(change.name, None)
+            else:
+                self._shown[change.name] = change.entry
+        return list(self._shown.values())
+
+    async def _list_hosts(self, request: Request) -> Response:
+        entries = [
+            {key: part for key, part in entry._asdict().items() if part}
+            for entry in self.list_shown()
+        ]
+        return answers.answer_json({'hosts': entries})
--- /dev/null
+++ b/cassiarail/standins/object_table.py
@@ -0,0 +1,89 @@
+"""Hold the objects of the object API with versions and a change log."""
+
+import collections
+from typing import Any, NamedTuple
+
+import anyio
+
+# Changes kept for watches of each kind; an older revision gets 410.
+_KEPT_CHANGES = 2000
+
+
+class TableEntry(NamedTuple):
+    """Hold one object; ``revision`` is the store's count at its last write."""
+
+    name: str
+    version: int
+    revision: int
+    document: Any
+
+
+class Change(NamedTuple):
+    """Describe one change; ``entry`` is ``None`` for a deletion."""
+
+    revision: int
+    name: str
+    entry: TableEntry | None
+
+
+class KindTable:
+    """Hold the objects of one kind."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, TableEntry] = {}
+        self.changes: collections.deque[Change] = collections.deque()
+        self.oldest_revision = 0
+        self.changed = anyio.Event()
+
+    def record(self, change: Change) -> None:
+        """Log a change and wake the watches."""
+        self.changes.append(change)
+        if len(self.changes) > _KEPT_CHANGES:
+            self.oldest_revision = self.changes.popleft().revision
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def list_changes(self, after: int, prefix: str) -> list[Change]:
+        """Return the last change of each object after a revision."""
+        latest = {
+            change.name: change
+            for change in self.changes
+            if change.revision > after and change.name.startswith(prefix)
+        }
+        return list(latest.values())
+
+
+class ObjectTable:
+    """Hold all objects; every write raises the revision by one."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._kinds: collections.defaultdict[str, KindTable] = (
+            collections.defaultdict(KindTable)
+        )
+
+    def of_kind(self, kind: str) -> KindTable:
+        """Return the objects of a kind."""
+        return self._kinds[kind]
+
+    def find(self, kind: str, name: str) -> TableEntry | None:
+        """Return an object, or ``None``."""
+        return self._kinds[kind].entries.get(name)
+
+    def write(self, kind: str, name: str, document: Any) -> TableEntry:
+        """Write an object unconditionally; return it."""
+        self.revision += 1
+        # Versions come from the revision, so that no version is used twice
+        # even if an object is deleted and created again.
+        entry = TableEntry(name, self.revision, self.revision, document)
+        table = self._kinds[kind]
+        table.entries[name] = entry
+        table.record(Change(self.revision, name, entry))
+        return entry
+
+    def delete(self, kind: str, name: str) -> None:
+        """Delete an object."""
+        self.revision += 1
+        table = self._kinds[kind]
+        table.entries.pop(name, None)
+        table.record(Change(self.revision, name, None))
--- /dev/null
+++ b/cassiarail/standins/service.py
@@ -0,0 +1,221 @@
+"""Stand in for a plain service (docs/design.md, section 4.3)."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from cassiarail.core.clock import Clock
+from cassiarail.core.events import emit_event
+from cassiarail.standins import answers
+from cassiarail.standins.events import (
+    TARGET_CRASHED,
+    TARGET_LEAVING,
+    TARGET_RESTARTED,
+    TARGET_STOPPED,
+)
+from cassiarail.standins.faults import FaultName, Faults
+from cassiarail.standins.loads import LoadHistory, LoadNumbers
+from cassiarail.standins.records import (
+    COMPLETED,
+    CRASHED,
+    CUT_BY_STOP,
+    Records,
+)
+
+_Document = dict[str, Any]
+
+
+class ServiceSettings(NamedTuple):
+    """Hold what distinguishes an instance of a service; times are seconds."""
+
+    name: str
+    service: str
+    data_centre: str
+    address: str
+    write_s: float = 0.02
+    read_s: float = 0.005
+    running_max: int = 64
+    report_lag_s: float = 0.5
+
+
+class Register:
+    """Hold the records that all instances of a service share."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, list[_Document]] = {}
+
+    def write(self, record_id: str, document: _Document) -> None:
+        """Add a record; a repeated call adds it again."""
+        self.entries.setdefault(record_id, []).append(document)
+
+
+class PlainService:
+    """Write filings and payments for one target address."""
+
+    def __init__(
+        self,
+        settings: ServiceSettings,
+        clock: Clock,
+        faults: Faults,
+        records: Records,
+        register: Register,
+    ) -> None:
+        self.settings = settings
+        self._clock = clock
+        self._faults = faults
+        self._records = records
+        self._register = register
+        self._incarnation = 0
+        # Breaks the connections of a crashed target; its owner sets it.
+        self.on_crash: Callable[[], None] = _ignore_crash
+        self._running: set[int] = set()
+        self._reset()
+        self.application = Starlette(
+            routes=[
+                Route('/load', self._report_load),
+                Route('/filings', self._write, methods=['POST']),
+                Route('/payments', self._write, methods=['POST']),
+                Route('/records/{record}', self._read),
+            ],
+        )
+
+    @property
+    def in_progress(self) -> int:
+        """Return the number of calls in progress."""
+        return len(self._running)
+
+    def crash(self) -> None:
+        """Break all calls in progress at once."""
+        if self.is_down:
+            return
+        emit_event(TARGET_CRASHED, target=self.settings.name)
+        self._go_down(CRASHED)
+        self.on_crash()
+
+    def restart(self) -> None:
+        """Come back as a new instance."""
+        self._reset()
+        emit_event(TARGET_RESTARTED, target=self.settings.name)
+
+    def leave(self) -> None:
+        """Refuse new calls from now on; those in progress finish."""
+        self.is_leaving = True
+        self._records.begin_departure(self.settings.name, self.instance)
+        emit_event(TARGET_LEAVING, target=self.settings.name)
+
+    def stop(self) -> None:
+        """End a planned stop; calls that are still in progress are cut."""
+        emit_event(TARGET_STOPPED, target=self.settings.name)
+        self._go_down(CUT_BY_STOP)
+
+    def _reset(self) -> None:
+        self._incarnation += 1
+        self.instance = f'{self.settings.name}#{self._incarnation}'
+        self.is_down = False
+        self.is_leaving = False
+        self._loads = LoadHistory(
+            self._clock, self.instance, self.settings.report_lag_s
+        )
+
+    def _go_down(self, outcome: str) -> None:
+        self.is_down = True
+        for number in self._running:
+            self._records.end_run(number, outcome)
+        self._running.clear()
+
+    def _require_up(self, instance: str) -> None:
+        if self.is_down or instance != self.instance:
+            raise answers.BrokenConnectionError('target is down')
+
+    async def _report_load(self, request: Request) -> Response:
+        self._require_up(self.instance)
+        self._loads.sample(
+            LoadNumbers(self.in_progress, 0, self.settings.running_max),
+        )
+        return answers.answer_json(self._loads.describe(self.is_leaving))
+
+    async def _read(self, request: Request) -> Response:
+        instance = self.instance
+        self._require_up(instance)
+        if self.is_leaving:
+            return answers.refuse('leaving')
+        await self._clock.sleep(self.settings.read_s)
+        self._require_up(instance)
+        written = self._register.entries.get(request.path_params['record'])
+        if not written:
+            return answers.answer_json(
+                {'error': {'code': 'unknown_record'}},
+                answers.STATUS_NOT_FOUND,
+            )
+        return answers.answer_json(written[0])
+
+    async def _write(self, request: Request) -> Response:
+        instance = self.instance
+        self._require_up(instance)
+        body = await answers.read_json(request)
+        if body is None or not body.get('id'):
+            return answers.refuse('bad_request', answers.STATUS_BAD_REQUEST)
+        request_id = request.headers.get('x-request-id', '')
+        self._records.receive_work(self.settings.name, instance, request_id)
+        if self.is_leaving:
+            return answers.refuse('leaving')
+        if self.in_progress >= self.settings.running_max:
+            return answers.refuse('overloaded')
+        return await self._run(request, body, instance)
+
+    async def _run(
+        self,
+        request: Request,
+        body: _Document,
+        instance: str,
+    ) -> Response:
+        record_id = str(body['id'])
+        number = self._records.begin_run(
+            self.settings.name,
+            instance,
+            request.headers.get('x-request-id', ''),
+            record_id,
+            request.headers.get('idempotency-key', ''),
+        )
+        self._running.add(number)
+        # The write takes effect half way, so that a crash can fall on either
+        # side of it.
+        await self._clock.sleep(self.settings.write_s / 2)
+        self._require_up(instance)
+        self._apply(request, record_id, body)
+        name = self.settings.name
+        if self._faults.is_on(FaultName.SERVICE_RUNS_TWICE, name):
+            self._apply(request, record_id, body)
+        await self._clock.sleep(self.settings.write_s / 2)
+        self._require_up(instance)
+        self._running.discard(number)
+        self._records.end_run(number, COMPLETED)
+        if self._faults.draw(FaultName.SERVICE_ANSWER_LOST, name):
+            raise answers.BrokenConnectionError('answer lost')
+        return answers.answer_json(
+            {'id': record_id, 'state': 'written'},
+            answers.STATUS_CREATED,
+        )
+
+    def _apply(
+        self,
+        request: Request,
+        record_id: str,
+        body: _Document,
+    ) -> None:
+        self._register.write(record_id, body)
+        self._records.write_filing(
+            self.settings.name,
+            request.url.path,
+            record_id,
+            request.headers.get('x-request-id', ''),
+            request.headers.get('idempotency-key', ''),
+        )
+
+
+def _ignore_crash() -> None:
+    """Stand for the owner of a target that nobody owns."""
--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,290 @@
+"""Guard the engine stand-in, on which every audit depends."""
+
+import json
+import random
+
+import anyio
+import httpx
+import pytest
+
+from cassiarail.core.clock import LoopClock
+from cassiarail.core.loops import run_virtual
+from cassiarail.standins import tokens
+from cassiarail.standins.application import Standins
+from cassiarail.standins.faults import Fault, FaultName
+from cassiarail.standins.listeners import MemoryListener
+from cassiarail.standins.network import MemoryTransport, Network
+from cassiarail.standins.work import POISON_MARKER
+
+GB = 10**9
+ENGINE = 'http://10.0.0.1:80'
+SERVICE = 'http://10.0.0.2:80'
+STORE = 'http://10.0.1.1:80'
+
+
+def make_settings():
+    return {
+        'seed': 7,
+        'engines': [
+            {
+                'name': 'e1',
+                'service': 'salzmodell',
+                'data_centre': 'bex',
+                'address': '10.0.0.1:80',
+                'accelerators': 2,
+                'memory_bytes': 1000 * GB,
+                'checks_fence': True,
+            },
+        ],
+        'services': [
+            {
+                'name': 's1',
+                'service': 'ernteregister',
+                'data_centre': 'bex',
+                'address': '10.0.0.2:80',
+            },
+        ],
+        'entry_hosts': [],
+        'held': [
+            {'target': 'e1', 'model': 'm', 'version': '1', 'bytes': 400 * GB}
+        ],
+        'objects_address': '10.0.1.1:80',
+        'weights_address': '10.0.1.2:80',
+        'hosts_address': '10.0.1.3:80',
+        'control_address': '10.0.1.4:80',
+        'weight_loads_per_second': 2.0,
+        'weight_loads_at_once': 7,
+        'adapter_loads_in_flight': 55,
+        'restart_s': 2.0,
+        'leave_s': 30.0,
+        'host_list_lag_s': 2.0,
+        'faults': [],
+    }
+
+
+def run_scenario(scenario):
+    async def main():
+        async with anyio.create_task_group() as group:
+            network = Network(group)
+            transport = MemoryTransport(network, 'client')
+            standins = Standins(
+                make_settings(),
+                LoopClock(),
+                MemoryListener(network),
+                MemoryTransport(network, 'e1'),
+            )
+            await standins.start()
+            group.start_soon(standins.run)
+            await anyio.sleep(0.01)
+            async with httpx.AsyncClient(transport=transport) as client:
+                await scenario(standins, client)
+            group.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+def make_body(text='hello', **more):
+    messages = [{'role': 'user', 'content': text}]
+    return {'model': 'm', 'messages': messages, 'max_tokens': 20, **more}
+
+
+async def read_stream(client, url, method='POST', **more):
+    """Return the tokens by their ids and whether the stream was completed."""
+    received = {}
+    done = False
+    index = None
+    async with client.stream(method, url, **more) as answer:
+        async for line in answer.aiter_lines():
+            if line.startswith('id: '):
+                index = int(line[4:])
+            elif line == 'data: [DONE]':
+                done = True
+            elif line.startswith('data: '):
+                delta = json.loads(line[6:])['choices'][0]['delta']
+                if 'content' in delta:
+                    received[index] = delta['content']
+    return received, done
+
+
+def expected(body):
+    print_of = tokens.fingerprint_body(body)
+    count = min(body['max_tokens'], tokens.count_natural_tokens(print_of))
+    return {place: tokens.make_token(print_of, place) for place in range(count)}
+
+
+def test_streams_and_whole_answers_have_the_text_of_the_request():
+    async def scenario(standins, client):
+        body = make_body(stream=True)
+        received, done = await read_stream(
+            client, f'{ENGINE}/v1/chat/completions', json=body
+        )
+        assert done
+        assert received == expected(body)
+        whole = await client.post(
+            f'{ENGINE}/v1/chat/completions', json=make_body()
+        )
+        choice = whole.json()['choices'][0]
+        assert choice['message']['content'] == ''.join(received.values())
+        assert [end.outcome for end in standins.records.ends.values()] == [
+            'completed',
+            'completed',
+        ]
+
+    run_scenario(scenario)
+
+
+def test_resumes_on_the_same_engine_and_after_another_one():
+    async def scenario(standins, client):
+        body = make_body(stream=True)
+        url = f'{ENGINE}/v1/chat/completions'
+        headers = {'X-Request-Id': 'r1'}
+        async with client.stream('POST', url, json=body, headers=headers) as a:
+            await anext(a.aiter_lines())
+        again, done = await read_stream(
+            client, f'{ENGINE}/v1/streams/r1?after=5', 'GET'
+        )
+        wanted = expected(body)
+        assert done
+        assert again == {key: wanted[key] for key in wanted if key >= 5}
+        text = ''.join(wanted[key] for key in range(5))
+        moved = {**body, 'resume_after': 5, 'generated': text}
+        assert (await read_stream(client, url, json=moved))[0] == again
+        wrong = {**moved, 'generated': 'x' * 25}
+        assert (await read_stream(client, url, json=wrong))[0] != again
+
+    run_scenario(scenario)
+
+
+def test_a_larger_batch_slows_each_stream():
+    async def scenario(standins, client):
+        url = f'{ENGINE}/v1/chat/completions'
+
+        async def measure(count):
+            started = anyio.current_time()
+            async with anyio.create_task_group() as group:
+                for number in range(count):
+                    body = make_body(f'{number}')
+                    group.start_soon(lambda b=body: client.post(url, json=b))
+            return anyio.current_time() - started
+
+        assert await measure(40) > 1.5 * await measure(1)
+
+    run_scenario(scenario)
+
+
+def test_a_poisoned_request_crashes_the_engine_which_comes_back_empty():
+    async def scenario(standins, client):
+        standins.faults.switch_on(FaultName.POISON_REQUEST)
+        url = f'{ENGINE}/v1/chat/completions'
+        with pytest.raises(httpx.ReadError):
+            await client.post(url, json=make_body(POISON_MARKER))
+        with pytest.raises(httpx.ConnectError):
+            await client.get(f'{ENGINE}/admin/state')
+        await anyio.sleep(3)
+        state = (await client.get(f'{ENGINE}/admin/state')).json()
+        assert state['instance'] == 'e1#2'
+        assert state['held'] == []
+        refusal = await client.post(url, json=make_body())
+        assert refusal.headers['x-verdict'] == 'not-run'
+        assert refusal.json()['error']['code'] == 'not_loaded'
+
+    run_scenario(scenario)
+
+
+async def _order(client, order_id, kind, fence=1, instance='e1#1', **more):
+    order = {
+        'order_id': order_id,
+        'fence': fence,
+        'instance': instance,
+        'kind': kind,
+        **more,
+    }
+    return await client.post(f'{ENGINE}/admin/orders', json=order)
+
+
+def test_orders_load_check_fences_and_show_overcommitment():
+    async def scenario(standins, client):
+        load = {'model': 'n', 'version': '1', 'bytes': 500 * GB}
+        assert (await _order(client, 'o1', 'load_model', 2, **load)).is_success
+        adapter = {
+            'model': 'm',
+            'version': '1',
+            'adapter': 'a',
+            'bytes': 50 * GB,
+        }
+        await _order(client, 'o2', 'load_adapter', 2, **adapter)
+        stale = await _order(client, 'o3', 'load_model', 1, **load)
+        assert stale.json()['error']['code'] == 'stale_fence'
+        await anyio.sleep(5)
+        state = (await client.get(f'{ENGINE}/admin/state')).json()
+        assert [part['state'] for part in state['orders']] == ['done', 'done']
+        assert {(part['kind'], part['state']) for part in state['held']} == {
+            ('model', 'ready'),
+            ('adapter', 'ready'),
+        }
+        assert standins.records.overcommitted_bytes_max() == 0
+        more = {'model': 'p', 'version': '1', 'bytes': 100 * GB}
+        await _order(client, 'o4', 'load_model', 2, **more)
+        await anyio.sleep(5)
+        assert standins.records.overcommitted_bytes_max() == 50 * GB
+
+    run_scenario(scenario)
+
+
+def test_late_orders_take_effect_after_the_sender_gave_up():
+    async def scenario(standins, client):
+        standins.faults.switch_on(FaultName.LATE_ORDERS, Fault(delay_s=8))
+        with pytest.raises(httpx.ReadTimeout):
+            await _order(client, 'o1', 'unload_model', model='m', version='1')
+        standins.faults.switch_off(FaultName.LATE_ORDERS)
+        assert (await client.get(f'{ENGINE}/admin/state')).json()['held']
+        await anyio.sleep(5)
+        assert not (await client.get(f'{ENGINE}/admin/state')).json()['held']
+
+    run_scenario(scenario)
+
+
+def test_a_leaving_target_refuses_and_late_work_is_recorded():
+    async def scenario(standins, client):
+        standins.leave_target('e1')
+        url = f'{ENGINE}/v1/chat/completions'
+        assert (await client.get(f'{ENGINE}/v1/load')).json()['leaving']
+        refusal = await client.post(url, json=make_body())
+        assert refusal.json()['error']['code'] == 'leaving'
+        assert not standins.records.list_late_work()
+        await anyio.sleep(3.5)
+        await client.post(url, json=make_body())
+        assert len(standins.records.list_late_work()) == 1
+
+    run_scenario(scenario)
+
+
+def test_a_planned_stop_that_cuts_a_stream_is_recorded():
+    async def scenario(standins, client):
+        standins.settings['leave_s'] = 0.1
+        body = make_body(stream=True, max_tokens=500)
+        standins.leave_target('e1')
+        standins.engines['e1'].is_leaving = False
+        url = f'{ENGINE}/v1/chat/completions'
+        async with client.stream('POST', url, json=body) as answer:
+            lines = answer.aiter_lines()
+            await anext(lines)
+            standins.engines['e1'].is_leaving = True
+            with pytest.raises(httpx.ReadError):
+                async for _line in lines:
+                    pass
+        assert len(list(standins.records.list_cut_runs())) == 1
+
+    run_scenario(scenario)
+
+
+def test_faults_repeat_with_their_seed():
+    from cassiarail.standins.faults import Faults
+
+    def draw():
+        faults = Faults(random.Random(3))
+        faults.switch_on(FaultName.LOST_ORDERS, Fault(probability=0.5))
+        return [faults.draw(FaultName.LOST_ORDERS) for _ in range(20)]
+
+    assert draw() == draw()
+    assert len(set(draw())) == 2
