--- /dev/null
+++ b/cassiarail/security/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticate callers and peers."""
--- /dev/null
+++ b/cassiarail/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to model engines and plain services."""
--- /dev/null
+++ b/cassiarail/targets/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the kinds of targets."""
