Add peer messages, the feed of gateways and the configuration keeper

Cause: controllers and gateways had no messages between them, and the accepted configuration had no holder.

ConfigurationDocument gains the optional recent_tokens, because the current token alone can't resolve a lost answer after a later change.

--- /dev/null
+++ b/cassiarail/control/__init__.py
@@ -0,0 +1,1 @@
+"""Carry out the plan: memory ledger, orders to engines and inventory."""
--- /dev/null
+++ b/cassiarail/controller/__init__.py
@@ -0,0 +1,1 @@
+"""Run the controller process."""
--- a/cassiarail/declarations/schema.py
+++ b/cassiarail/declarations/schema.py
@@ -134,10 +134,16 @@
 
 
 class ConfigurationDocument(TypedDict):
-    """Hold the accepted configuration, object ``configuration/current``."""
+    """Hold the accepted configuration, object ``configuration/current``.
+
+    ``recent_tokens`` are those of the latest accepted changes, newest last. An
+    operator whose answer was lost finds the change there even if another one
+    has been accepted since.
+    """
 
     generation: int
     token: str
     author: str
     accepted_at: float
     declarations: DeclarationsDocument
+    recent_tokens: NotRequired[list[str]]
--- /dev/null
+++ b/cassiarail/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Accept callers' requests and relay them to targets."""
--- /dev/null
+++ b/cassiarail/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the membership of controllers and spread what they know."""
--- /dev/null
+++ b/cassiarail/membership/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Carry messages between peers over different transports."""
--- /dev/null
+++ b/cassiarail/membership/backends/grpc.py
@@ -0,0 +1,224 @@
+"""Carry peer messages over gRPC."""
+
+import ssl
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, TypeVar
+
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server
+
+from cassiarail.core.events import emit_event
+from cassiarail.core.exceptions import PeerRejectedError
+from cassiarail.membership.backends.base import (
+    FeedService,
+    PeerService,
+    PeerTransport,
+    Traffic,
+)
+from cassiarail.membership.backends.codec import SignedCodec
+from cassiarail.membership.events import PEER_REJECTED
+from cassiarail.membership.exceptions import (
+    PeerTimeoutError,
+    PeerUnavailableError,
+)
+from cassiarail.membership.protos import peers_pb2 as pb
+from cassiarail.membership.protos.peers_grpc import (
+    FeedBase,
+    FeedStub,
+    PeersBase,
+    PeersStub,
+)
+
+_Answer = TypeVar('_Answer')
+_CALL_TIMEOUT_S = 1.0
+
+
+class GrpcPeerTransport(PeerTransport):
+    """Send messages over one channel for each address."""
+
+    def __init__(
+        self,
+        codec: SignedCodec,
+        tls: ssl.SSLContext | None = None,
+        timeout_s: float = _CALL_TIMEOUT_S,
+    ) -> None:
+        """Take the codec of the deployment and an optional TLS context."""
+        self.traffic = Traffic()
+        self._codec = CountingCodec(codec, self.traffic)
+        self._tls = tls
+        self._timeout_s = timeout_s
+        self._channels: dict[str, Channel] = {}
+
+    async def exchange(self, address: str, digest: pb.Digest) -> pb.Digest:
+        """Send a digest to a peer and return the peer's own."""
+        stub = PeersStub(self._channel(address))
+        return await self._call(address, stub.Exchange, digest)
+
+    async def announce(
+        self,
+        address: str,
+        announcement: pb.Announcement,
+    ) -> pb.Ack:
+        """Send an announcement to a peer."""
+        stub = PeersStub(self._channel(address))
+        return await self._call(address, stub.Announce, announcement)
+
+    async def report(self, address: str, report: pb.GatewayReport) -> pb.Ack:
+        """Send the report of a gateway to its controller."""
+        stub = FeedStub(self._channel(address))
+        return await self._call(address, stub.Report, report)
+
+    async def subscribe(
+        self,
+        address: str,
+        request: pb.SubscribeRequest,
+    ) -> AsyncIterator[pb.RoutingUpdate]:
+        """Yield the routing updates of a controller until it ends."""
+        stub = FeedStub(self._channel(address))
+        try:
+            async with stub.Subscribe.open() as stream:
+                await stream.send_message(request, end=True)
+                async for update in stream:
+                    yield update
+        except (GRPCError, OSError, StreamTerminatedError) as error:
+            raise self._translate(address, error) from error
+
+    def forget(self, address: str) -> None:
+        """Close the channel to an address."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    async def aclose(self) -> None:
+        """Close all channels."""
+        for address in tuple(self._channels):
+            self.forget(address)
+
+    async def _call(
+        self,
+        address: str,
+        method: Callable[..., Awaitable[_Answer]],
+        message: Any,
+    ) -> _Answer:
+        try:
+            return await method(message, timeout=self._timeout_s)
+        except TimeoutError as error:
+            # A connection may be silent for good; the next call opens another.
+            self.forget(address)
+            raise PeerTimeoutError(f'{address} did not answer') from error
+        except (GRPCError, OSError, StreamTerminatedError) as error:
+            raise self._translate(address, error) from error
+
+    def _translate(self, address: str, error: Exception) -> Exception:
+        status = getattr(error, 'status', None)
+        if status is Status.DEADLINE_EXCEEDED:
+            self.forget(address)
+            return PeerTimeoutError(f'{address} did not answer in time')
+        if status in {Status.UNAUTHENTICATED, Status.INVALID_ARGUMENT}:
+            return PeerRejectedError(f'{address} rejected the message')
+        self.forget(address)
+        return PeerUnavailableError(f'{address}: {error}')
+
+    def _channel(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(':')
+            channel = Channel(host, int(port), codec=self._codec, ssl=self._tls)
+            self._channels[address] = channel
+        return channel
+
+
+class GrpcPeerServer:
+    """Serve peers and gateways on one TCP address."""
+
+    def __init__(
+        self,
+        codec: SignedCodec,
+        peers: PeerService,
+        feed: FeedService,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Take the services that answer."""
+        self.traffic = Traffic()
+        self._tls = tls
+        self._server = Server(
+            [_PeersAdapter(peers), _FeedAdapter(feed)],
+            codec=_ServerCodec(codec, self.traffic),
+        )
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on an address."""
+        await self._server.start(host, port, ssl=self._tls)
+
+    async def stop(self) -> None:
+        """Close all connections and wait for the calls in progress."""
+        self._server.close()
+        await self._server.wait_closed()
+
+
+class CountingCodec(SignedCodec):
+    """Count the bytes that another codec produces and reads."""
+
+    def __init__(self, codec: SignedCodec, traffic: Traffic) -> None:
+        """Wrap the codec of the deployment."""
+        self._codec = codec
+        self._traffic = traffic
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Return the signed bytes of a message."""
+        frame = self._codec.encode(message, message_type)
+        self._traffic.count_sent(message_type.__name__, len(frame))
+        return frame
+
+    def decode(self, frame: bytes, message_type: Any) -> Any:
+        """Return a message; raise ``PeerRejectedError`` if it is forged."""
+        self._traffic.count_received(message_type.__name__, len(frame))
+        return self._codec.decode(frame, message_type)
+
+
+class _ServerCodec(CountingCodec):
+    """Answer forged messages with a status instead of a crash."""
+
+    def decode(self, frame: bytes, message_type: Any) -> Any:
+        try:
+            return super().decode(frame, message_type)
+        except PeerRejectedError as error:
+            emit_event(PEER_REJECTED, reason=error.message)
+            raise GRPCError(
+                Status.UNAUTHENTICATED,
+                error.message,
+            ) from error
+
+
+class _PeersAdapter(PeersBase):
+    def __init__(self, peers: PeerService) -> None:
+        self._peers = peers
+
+    async def Exchange(self, stream: Any) -> None:
+        await _answer(stream, self._peers.handle_exchange)
+
+    async def Announce(self, stream: Any) -> None:
+        await _answer(stream, self._peers.handle_announcement)
+
+
+class _FeedAdapter(FeedBase):
+    def __init__(self, feed: FeedService) -> None:
+        self._feed = feed
+
+    async def Subscribe(self, stream: Any) -> None:
+        request = await stream.recv_message()
+        async for update in self._feed.subscribe(request):
+            await stream.send_message(update)
+
+    async def Report(self, stream: Any) -> None:
+        await _answer(stream, self._feed.handle_report)
+
+
+async def _answer(
+    stream: Any,
+    answer: Callable[[Any], Awaitable[_Answer]],
+) -> None:
+    request = await stream.recv_message()
+    await stream.send_message(await answer(request))
--- /dev/null
+++ b/cassiarail/membership/backends/memory.py
@@ -0,0 +1,220 @@
+"""Carry peer messages in one process, with partitions and latency."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, TypeVar
+
+import anyio
+
+from cassiarail.membership.backends.base import (
+    FeedService,
+    PeerService,
+    PeerTransport,
+    Traffic,
+)
+from cassiarail.membership.backends.codec import SignedCodec
+from cassiarail.membership.exceptions import (
+    PeerTimeoutError,
+    PeerUnavailableError,
+)
+from cassiarail.membership.protos import peers_pb2 as pb
+
+_Answer = TypeVar('_Answer')
+_TIMEOUT_S = 1.0
+
+
+class _Listener:
+    """Hold the services and the traffic of one address."""
+
+    def __init__(
+        self,
+        peers: PeerService,
+        feed: FeedService | None,
+        traffic: Traffic,
+    ) -> None:
+        self.peers = peers
+        self.feed = feed
+        self.traffic = traffic
+        self.gone = anyio.Event()
+
+
+class MemoryPeerNetwork:
+    """Connect the peers of one process."""
+
+    def __init__(self, codec: SignedCodec) -> None:
+        """Encode all messages with one codec, as real peers would."""
+        self.codec = codec
+        self.latency_s = float(0)
+        self._listeners: dict[str, _Listener] = {}
+        self._groups: dict[str, str] = {}
+        self._blocked: set[tuple[str, str]] = set()
+
+    def listen(
+        self,
+        address: str,
+        peers: PeerService,
+        feed: FeedService | None = None,
+        traffic: Traffic | None = None,
+    ) -> None:
+        """Serve peers and gateways at an address."""
+        self._listeners[address] = _Listener(peers, feed, traffic or Traffic())
+
+    def kill(self, address: str) -> None:
+        """End the process at an address and break its streams."""
+        listener = self._listeners.pop(address, None)
+        if listener is not None:
+            listener.gone.set()
+
+    def join_group(self, address: str, group: str) -> None:
+        """Put an address into a partition group."""
+        self._groups[address] = group
+
+    def block(self, first: str, second: str) -> None:
+        """Drop all messages between two partition groups."""
+        self._blocked.update(((first, second), (second, first)))
+
+    def heal(self) -> None:
+        """End all partitions."""
+        self._blocked.clear()
+
+    def can_reach(self, source: str, address: str) -> bool:
+        """Tell whether messages pass from a source to an address."""
+        pair = (self._groups.get(source, ''), self._groups.get(address, ''))
+        return pair not in self._blocked
+
+    def find(self, address: str) -> _Listener:
+        """Return a listener; raise ``PeerUnavailableError`` without one."""
+        listener = self._listeners.get(address)
+        if listener is None:
+            raise PeerUnavailableError(f'{address} refused the connection')
+        return listener
+
+
+class MemoryPeerTransport(PeerTransport):
+    """Send the messages of one process through the network."""
+
+    def __init__(self, network: MemoryPeerNetwork, source: str) -> None:
+        """Name the sender, so that partitions can apply to it."""
+        self._network = network
+        self._source = source
+        self.traffic = Traffic()
+
+    async def exchange(self, address: str, digest: pb.Digest) -> pb.Digest:
+        """Send a digest to a peer and return the peer's own."""
+        listener = await self._connect(address)
+        return await self._call(
+            listener,
+            digest,
+            listener.peers.handle_exchange,
+        )
+
+    async def announce(
+        self,
+        address: str,
+        announcement: pb.Announcement,
+    ) -> pb.Ack:
+        """Send an announcement to a peer."""
+        listener = await self._connect(address)
+        return await self._call(
+            listener,
+            announcement,
+            listener.peers.handle_announcement,
+        )
+
+    async def report(self, address: str, report: pb.GatewayReport) -> pb.Ack:
+        """Send the report of a gateway to its controller."""
+        listener = await self._connect(address)
+        feed = _require_feed(listener, address)
+        return await self._call(listener, report, feed.handle_report)
+
+    async def subscribe(
+        self,
+        address: str,
+        request: pb.SubscribeRequest,
+    ) -> AsyncIterator[pb.RoutingUpdate]:
+        """Yield the routing updates of a controller until it ends."""
+        listener = await self._connect(address)
+        feed = _require_feed(listener, address)
+        sent = self._carry(request, self.traffic, listener.traffic)
+        updates = feed.subscribe(sent)
+        while True:
+            update = await _UpdateWaiter(updates, listener.gone).wait()
+            if not self._network.can_reach(self._source, address):
+                raise PeerTimeoutError(f'{address} is silent')
+            if update is None:
+                raise PeerUnavailableError(f'{address} ended the stream')
+            yield self._carry(update, listener.traffic, self.traffic)
+
+    async def _connect(self, address: str) -> _Listener:
+        if not self._network.can_reach(self._source, address):
+            await anyio.sleep(_TIMEOUT_S)
+            raise PeerTimeoutError(f'{address} did not answer')
+        if self._network.latency_s:
+            await anyio.sleep(self._network.latency_s)
+        return self._network.find(address)
+
+    async def _call(
+        self,
+        listener: _Listener,
+        message: Any,
+        answer: Callable[[Any], Awaitable[_Answer]],
+    ) -> _Answer:
+        received = self._carry(message, self.traffic, listener.traffic)
+        try:
+            with anyio.fail_after(_TIMEOUT_S):
+                reply = await answer(received)
+                await anyio.sleep(self._network.latency_s)
+        except TimeoutError as error:
+            raise PeerTimeoutError('peer did not answer') from error
+        if listener.gone.is_set():
+            raise PeerUnavailableError('peer broke the connection')
+        return self._carry(reply, listener.traffic, self.traffic)
+
+    def _carry(
+        self,
+        message: _Answer,
+        sender: Traffic,
+        receiver: Traffic,
+    ) -> _Answer:
+        """Encode and decode a message, and count it at both ends."""
+        kind = type(message)
+        frame = self._network.codec.encode(message, kind)  # type: ignore[arg-type]
+        sender.count_sent(kind.__name__, len(frame))
+        receiver.count_received(kind.__name__, len(frame))
+        carried: _Answer = self._network.codec.decode(frame, kind)
+        return carried
+
+
+def _require_feed(listener: _Listener, address: str) -> FeedService:
+    if listener.feed is None:
+        raise PeerUnavailableError(f'{address} serves no feed')
+    return listener.feed
+
+
+class _UpdateWaiter:
+    """Wait for the next update or for the end of the process."""
+
+    def __init__(
+        self,
+        updates: AsyncIterator[pb.RoutingUpdate],
+        gone: anyio.Event,
+    ) -> None:
+        self._updates = updates
+        self._gone = gone
+        self._received: pb.RoutingUpdate | None = None
+        self._scope = anyio.CancelScope()
+
+    async def wait(self) -> pb.RoutingUpdate | None:
+        """Return the next update, or ``None`` when the process has ended."""
+        async with anyio.create_task_group() as group:
+            self._scope = group.cancel_scope
+            group.start_soon(self._wait_gone)
+            group.start_soon(self._wait_update)
+        return self._received
+
+    async def _wait_gone(self) -> None:
+        await self._gone.wait()
+        self._scope.cancel()
+
+    async def _wait_update(self) -> None:
+        self._received = await anext(self._updates, None)
+        self._scope.cancel()
--- /dev/null
+++ b/cassiarail/membership/ports.py
@@ -0,0 +1,51 @@
+"""Define what membership needs from other parts of the controller."""
+
+import abc
+from typing import NamedTuple
+
+from cassiarail.membership.protos import peers_pb2 as pb
+
+
+class ConfigurationPort(abc.ABC):
+    """Hold the configuration in force and exchange it with peers."""
+
+    @property
+    @abc.abstractmethod
+    def generation(self) -> int:
+        """Return the generation in force, 0 for none."""
+
+    @abc.abstractmethod
+    def bundle_for(self, generation: int) -> pb.ConfigurationBundle:
+        """Return what a peer at a lower generation needs."""
+
+    @abc.abstractmethod
+    def offer(self, bundle: pb.ConfigurationBundle) -> bool:
+        """Take a newer configuration; tell whether it is now in force.
+
+        Returns false if it isn't newer or a patch has another base.
+        """
+
+
+class LoadObservation(NamedTuple):
+    """Hold what a target reported in answer to one poll."""
+
+    instance: str
+    sequence: int
+    leaving: bool
+    running: int
+    queued: int
+    batch_max: int
+    kv_used_bytes: int
+    kv_total_bytes: int
+
+
+class LoadSource(abc.ABC):
+    """Know the targets of the data centre and poll them."""
+
+    @abc.abstractmethod
+    def list_targets(self) -> list[str]:
+        """Return the names of the targets to poll."""
+
+    @abc.abstractmethod
+    async def poll(self, target: str) -> LoadObservation:
+        """Return the report of a target; raise ``TargetError`` on failure."""
--- /dev/null
+++ b/cassiarail/membership/protos/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the generated messages between processes."""
--- /dev/null
+++ b/tests/control/test_configuration_patches.py
@@ -0,0 +1,69 @@
+"""Guard the patches that spread configurations against wrong results."""
+
+import copy
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cassiarail.core.exceptions import PeerRejectedError
+from cassiarail.membership.bundles import BundleHistory
+
+_NAMES = st.sampled_from(['a', 'b', 'c', 'd'])
+_ENTRY = st.fixed_dictionaries(
+    {'name': _NAMES, 'bytes': st.integers(0, 9)},
+    optional={'adapters': st.lists(st.fixed_dictionaries({'name': _NAMES}))},
+)
+_DECLARATIONS = st.fixed_dictionaries(
+    {
+        'fleet': st.dictionaries(_NAMES, st.none() | st.integers(0, 3)),
+        'models': st.lists(_ENTRY, max_size=4),
+        'callers': st.lists(st.sampled_from(['x', 'y']), max_size=2),
+    },
+)
+
+
+def _document(generation, declarations):
+    return {
+        'generation': generation,
+        'token': f't{generation}',
+        'author': 'ana',
+        'accepted_at': 1.0,
+        'declarations': declarations,
+    }
+
+
+@given(st.lists(_DECLARATIONS, min_size=2, max_size=4))
+def test_patches_give_the_same_document(chain):
+    """A patch that loses or reorders an entry would split the fleet."""
+    sender = BundleHistory()
+    receiver = BundleHistory()
+    for generation, declarations in enumerate(chain, start=1):
+        document = _document(generation, copy.deepcopy(declarations))
+        sender.append(document)
+        received = receiver.unpack(sender.bundle_for(generation - 1))
+        assert received == document
+        receiver.append(received)
+
+
+def test_patch_on_another_base_is_not_applied():
+    """A node that missed a generation must ask for the whole document."""
+    sender = BundleHistory()
+    for generation in (1, 2, 3):
+        sender.append(_document(generation, {'models': []}))
+    receiver = BundleHistory()
+    receiver.append(_document(1, {'models': []}))
+    assert receiver.unpack(sender.bundle_for(2)) is None
+    whole = sender.bundle_for(1)
+    assert whole.base_generation == 0
+    assert receiver.unpack(whole)['generation'] == 3
+
+
+def test_damaged_bundle_is_refused():
+    """A document that differs from its checksum must not come into force."""
+    sender = BundleHistory()
+    sender.append(_document(1, {'models': []}))
+    bundle = sender.bundle_for(0)
+    bundle.checksum = b'12345678'
+    with pytest.raises(PeerRejectedError):
+        BundleHistory().unpack(bundle)
