--- /dev/null
+++ b/cassiarail/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Define the programs of the package."""
--- a/cassiarail/standins/answers.py
+++ b/cassiarail/standins/answers.py
@@ -23,7 +23,10 @@
 
 
 class BrokenConnectionError(ConnectionError):
-    """Break the connection of a request, as a dying process would."""
+    """Break the connection of a request, as a dying process would.
+
+    The stand-ins are bare routers, because ``Starlette`` would answer 500.
+    """
 
 
 def answer_json(
--- a/cassiarail/standins/application.py
+++ b/cassiarail/standins/application.py
@@ -31,6 +31,7 @@
 from cassiarail.standins.weights import WeightLimits, WeightStore
 
 _NamedTask = Callable[[str], Coroutine[Any, Any, None]]
+PLATFORM_GROUP = 'platform'
 _STOP_POLL_S = 0.1
 # A leaving target stays at least this long, so that late new work is seen.
 _LINGER_S = 5
@@ -53,7 +54,7 @@
         """Take the transport with which engines reach the weight store."""
         self.settings = settings
         self._clock = clock
-        self._listener = listener
+        self.listener = listener
         self._transport = transport
         self._group: TaskGroup | None = None
         generator = random.Random(settings['seed'])
@@ -86,15 +87,20 @@
     async def start(self) -> None:
         """Listen at all addresses."""
         settings = self.settings
-        self._listener.listen(
+        self.listener.listen(
             settings['objects_address'], self.store.application
         )
-        self._listener.listen(
+        self.listener.listen(
             settings['weights_address'], self.weights.application
         )
-        self._listener.listen(settings['hosts_address'], self.hosts.application)
-        for name in self.targets:
+        self.listener.listen(settings['hosts_address'], self.hosts.application)
+        for name, target in self.targets.items():
             self._listen(name)
+            self.listener.join_group(
+                target.settings.address, target.settings.data_centre
+            )
+        for address in self._list_platform():
+            self.listener.join_group(address, PLATFORM_GROUP)
 
     async def run(self) -> None:
         """Run the engines until cancelled."""
@@ -104,6 +110,13 @@
                 group.start_soon(engine.run)
             await anyio.sleep_forever()
 
+    def _list_platform(self) -> tuple[str, ...]:
+        return (
+            self.settings['objects_address'],
+            self.settings['weights_address'],
+            self.settings['hosts_address'],
+        )
+
     def crash_target(self, name: str) -> None:
         """Crash a target; it comes back empty after ``restart_s``."""
         self.targets[name].crash()
@@ -115,13 +128,10 @@
             return
         target.leave()
         self.hosts.set_state(name, LEAVING)
-        self._start(self._stop_when_idle, name)
+        self.spawn(self._stop_when_idle, name)
 
-    def _start(
-        self,
-        function: _NamedTask,
-        name: str,
-    ) -> None:
+    def spawn(self, function: _NamedTask, name: str) -> None:
+        """Run a function in the background with a name as its argument."""
         if self._group is not None:
             self._group.start_soon(function, name)
 
@@ -135,12 +145,12 @@
         await self._clock.sleep(_STOP_MARGIN_S)
         if target.is_leaving and not target.is_down:
             target.stop()
-            self._listener.kill(target.settings.address)
+            self.listener.kill(target.settings.address)
             await self._restart_later(name)
 
     def _end_process(self, name: str) -> None:
-        self._listener.kill(self.targets[name].settings.address)
-        self._start(self._restart_later, name)
+        self.listener.kill(self.targets[name].settings.address)
+        self.spawn(self._restart_later, name)
 
     async def _restart_later(self, name: str) -> None:
         await self._clock.sleep(self.settings['restart_s'])
@@ -155,7 +165,7 @@
         else:
             application = EngineApi(engine).application
         address = self.targets[name].settings.address
-        self._listener.listen(address, application)
+        self.listener.listen(address, application)
 
     def _build_engines(self) -> dict[str, Engine]:
         client = httpx.AsyncClient(transport=self._transport)
--- a/cassiarail/standins/engine_api.py
+++ b/cassiarail/standins/engine_api.py
@@ -5,10 +5,9 @@
 from collections.abc import AsyncIterator
 
 import msgspec
-from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response, StreamingResponse
-from starlette.routing import BaseRoute, Route
+from starlette.routing import BaseRoute, Route, Router
 
 from cassiarail.standins import answers
 from cassiarail.standins.batch import Generation
@@ -32,7 +31,7 @@
     def __init__(self, engine: Engine) -> None:
         self._engine = engine
         self._environment = engine.environment
-        self.application = Starlette(routes=self._list_routes())
+        self.application = Router(routes=self._list_routes())
 
     def _list_routes(self) -> list[BaseRoute]:
         return [
--- a/cassiarail/standins/hosts.py
+++ b/cassiarail/standins/hosts.py
@@ -3,10 +3,9 @@
 import collections
 from typing import NamedTuple
 
-from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
-from starlette.routing import Route
+from starlette.routing import Route, Router
 
 from cassiarail.core.clock import Clock
 from cassiarail.standins import answers
@@ -49,7 +48,7 @@
         self._current: dict[str, HostEntry] = {}
         self._shown: dict[str, HostEntry] = {}
         self._pending: collections.deque[_Change] = collections.deque()
-        self.application = Starlette(
+        self.application = Router(
             routes=[Route('/hosts', self._list_hosts)],
         )
 
--- a/cassiarail/standins/objects.py
+++ b/cassiarail/standins/objects.py
@@ -5,10 +5,9 @@
 
 import anyio
 import msgspec
-from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
-from starlette.routing import Route
+from starlette.routing import Route, Router
 
 from cassiarail.core.clock import Clock
 from cassiarail.standins import answers
@@ -46,7 +45,7 @@
         self._answer_s = answer_s
         self.table = ObjectTable()
         self.calls: collections.Counter[CallKey] = collections.Counter()
-        self.application = Starlette(
+        self.application = Router(
             routes=[
                 Route('/objects/{kind}', self._list, methods=['GET']),
                 Route(
--- a/cassiarail/standins/service.py
+++ b/cassiarail/standins/service.py
@@ -3,10 +3,9 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
-from starlette.routing import Route
+from starlette.routing import Route, Router
 
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
@@ -74,7 +73,7 @@
         self.on_crash: Callable[[], None] = _ignore_crash
         self._running: set[int] = set()
         self._reset()
-        self.application = Starlette(
+        self.application = Router(
             routes=[
                 Route('/load', self._report_load),
                 Route('/filings', self._write, methods=['POST']),
--- a/cassiarail/standins/weights.py
+++ b/cassiarail/standins/weights.py
@@ -2,10 +2,9 @@
 
 from typing import NamedTuple
 
-from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
-from starlette.routing import Route
+from starlette.routing import Route, Router
 
 from cassiarail.core.clock import Clock
 from cassiarail.standins import answers
@@ -43,7 +42,7 @@
         self.in_flight_max = 0
         self.loads = 0
         self.refused = 0
-        self.application = Starlette(
+        self.application = Router(
             routes=[Route('/weights/{model}/{version}', self._load)],
         )
 
--- /dev/null
+++ b/tests/standins/test_platform.py
@@ -0,0 +1,204 @@
+"""Guard the stand-ins of the object API, services, weights and hosts."""
+
+import random
+
+import anyio
+import httpx
+import pytest
+
+from cassiarail.core.clock import LoopClock
+from cassiarail.core.loops import run_virtual
+from cassiarail.standins.control import ControlApi
+from cassiarail.standins.disturbances import Disturber, draw_schedule
+from cassiarail.standins.faults import Fault, FaultName
+from cassiarail.standins.holdings import AdapterLoads
+from tests.standins.support import ENGINE, SERVICE, STORE, run_scenario
+
+NEW = {'If-None-Match': '*'}
+
+
+def test_the_store_refuses_writes_on_an_outdated_version():
+    async def scenario(standins, client):
+        url = f'{STORE}/objects/lease/a'
+        first = (await client.put(url, json=1, headers=NEW)).json()['version']
+        assert (await client.put(url, json=2, headers=NEW)).status_code == 412
+        match = {'If-Match': f'{first}'}
+        second = (await client.put(url, json=2, headers=match)).json()
+        late = await client.put(url, json=3, headers=match)
+        assert late.status_code == 412
+        assert late.json()['version'] == second['version']
+        assert late.json()['value'] == 2
+        gone = {'If-Match': f'{second["version"]}'}
+        assert (await client.delete(url, headers=gone)).status_code == 200
+        third = (await client.put(url, json=4, headers=NEW)).json()['version']
+        assert third > second['version']
+        assert standins.store.count_calls('lease') == 6
+
+    run_scenario(scenario)
+
+
+def test_a_watch_wakes_for_changes_and_deletions_and_expires():
+    async def scenario(standins, client):
+        url = f'{STORE}/objects/claim/x'
+
+        async def change_later():
+            await anyio.sleep(3)
+            made = await client.put(url, json=1, headers=NEW)
+            match = {'If-Match': f'{made.json()["version"]}'}
+            await client.delete(url, headers=match)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(change_later)
+            watch = f'{STORE}/watch/claim?after=0&timeout=20'
+            batch = (await client.get(watch, timeout=30)).json()
+        assert batch['objects'][0]['name'] == 'x'
+        rest = await client.get(
+            f'{STORE}/watch/claim?after={batch["revision"]}&timeout=1'
+        )
+        assert rest.json()['deleted'] == ['x']
+        for number in range(2001):
+            standins.store.table.write('claim', f'{number}', number)
+        expired = await client.get(f'{STORE}/watch/claim?after=1&timeout=1')
+        assert expired.status_code == 410
+
+    run_scenario(scenario)
+
+
+def test_store_faults_refuse_delay_and_lose_answers_after_the_write():
+    async def scenario(standins, client):
+        url = f'{STORE}/objects/lease/b'
+        faults = standins.faults
+        faults.switch_on(FaultName.STORE_OUTAGE)
+        assert (await client.put(url, json=1, headers=NEW)).status_code == 503
+        faults.switch_off(FaultName.STORE_OUTAGE)
+        assert standins.store.table.find('lease', 'b') is None
+        faults.switch_on(FaultName.STORE_ANSWER_LOST)
+        with pytest.raises(httpx.ReadError):
+            await client.put(url, json=1, headers=NEW)
+        assert (await client.get(url)).json()['value'] == 1
+        faults.switch_on(FaultName.SLOW_STORE, Fault(delay_s=2))
+        started = anyio.current_time()
+        await client.get(url)
+        assert anyio.current_time() - started >= 2
+
+    run_scenario(scenario)
+
+
+def test_a_filing_is_written_once_for_each_call_that_ran():
+    """The register must not hide a doubled call, and faults must show."""
+
+    async def scenario(standins, client):
+        filing = {'id': 'f1', 'amount': 3}
+        headers = {'Idempotency-Key': 'k1', 'X-Request-Id': 'r1'}
+        url = f'{SERVICE}/filings'
+        made = await client.post(url, json=filing, headers=headers)
+        assert made.status_code == 201
+        standins.faults.switch_on(FaultName.SERVICE_ANSWER_LOST)
+        with pytest.raises(httpx.ReadError):
+            await client.post(url, json=filing, headers=headers)
+        standins.faults.switch_off(FaultName.SERVICE_ANSWER_LOST)
+        assert len(standins.records.filings) == 2
+        standins.faults.switch_on(FaultName.SERVICE_RUNS_TWICE)
+        await client.post(url, json={**filing, 'id': 'f2'}, headers=headers)
+        assert len(standins.records.filings) == 4
+        read = await client.get(f'{SERVICE}/records/f1')
+        assert read.json() == filing
+
+    run_scenario(scenario)
+
+
+def test_weights_are_limited_in_rate():
+    async def scenario(standins, client):
+        answers = [
+            (await client.get(f'http://10.0.1.2:80/weights/m/{n}')).status_code
+            for n in range(2)
+        ]
+        statuses = []
+
+        async def load(number):
+            url = f'http://10.0.1.2:80/weights/m/{number}'
+            statuses.append((await client.get(url)).status_code)
+
+        async with anyio.create_task_group() as group:
+            for number in range(4):
+                group.start_soon(load, number)
+        assert answers == [200, 200]
+        assert sorted(statuses) == [200, 200, 429, 429]
+
+    run_scenario(scenario)
+
+
+def test_adapter_loads_slow_down_beyond_the_shared_limit():
+    async def main():
+        loads = AdapterLoads(LoopClock(), limit=55, base_s=0.02)
+
+        async def measure(count):
+            started = anyio.current_time()
+            async with anyio.create_task_group() as group:
+                for _ in range(count):
+                    group.start_soon(loads.load)
+            return anyio.current_time() - started
+
+        assert await measure(55) == pytest.approx(0.02)
+        assert await measure(110) == pytest.approx(0.04)
+
+    run_virtual(main)
+
+
+def test_the_host_list_lags():
+    async def scenario(standins, client):
+        async def read_state():
+            answer = await client.get('http://10.0.1.3:80/hosts')
+            states = {
+                entry['name']: entry['state']
+                for entry in answer.json()['hosts']
+            }
+            return states['e1']
+
+        standins.faults.switch_on(FaultName.HOST_LIST_LAG, Fault(delay_s=1))
+        standins.leave_target('e1')
+        await anyio.sleep(2.5)
+        assert await read_state() == 'live'
+        await anyio.sleep(1)
+        assert await read_state() == 'leaving'
+
+    run_scenario(scenario)
+
+
+def test_the_control_port_switches_faults_and_they_end_by_themselves():
+    async def scenario(standins, client):
+        clock = LoopClock()
+        control = ControlApi(standins, Disturber(standins, clock))
+        standins.listener.listen('10.0.1.4:80', control.application)
+        url = 'http://10.0.1.4:80/faults'
+        outage = {'name': 'store_outage', 'duration_s': 3}
+        assert (await client.post(url, json=outage)).json() == {
+            'faults': ['store_outage'],
+        }
+        await anyio.sleep(4)
+        assert (await client.get(url)).json() == {'faults': []}
+        assert (await client.post(url, json={'name': 'x'})).status_code == 400
+        crash = {'name': 'target_crash', 'subjects': ['e1']}
+        await client.post(url, json=crash)
+        with pytest.raises(httpx.ConnectError):
+            await client.get(f'{ENGINE}/admin/state')
+        silent = {'name': 'silent_connections', 'subjects': ['s1']}
+        await client.get(f'{SERVICE}/load')
+        await client.post(url, json=silent)
+        with pytest.raises(httpx.ReadTimeout):
+            await client.get(f'{SERVICE}/load')
+        split = {'name': 'partition', 'subjects': ['bex', 'platform']}
+        await client.post(url, json=split)
+        assert not standins.listener._network.can_reach(
+            '10.0.0.1:80', '10.0.1.1:80'
+        )
+
+    run_scenario(scenario)
+
+
+def test_a_schedule_repeats_with_its_seed_and_covers_every_fault():
+    def draw(seed):
+        return draw_schedule(random.Random(seed), 60, 14, ['e1'], ['bex'])
+
+    assert draw(5) == draw(5) != draw(6)
+    assert len({timed.document['name'] for timed in draw(5)}) == 14
