--- /dev/null
+++ b/cassiarail/gateway/application.py
@@ -0,0 +1,188 @@
+"""Build the ASGI application of the callers' listener."""
+
+import random
+from typing import NamedTuple
+
+from opentelemetry import trace
+from prometheus_client import CollectorRegistry
+from starlette.applications import Starlette
+from starlette.routing import Route
+
+from cassiarail.core.clock import Clock
+from cassiarail.gateway.attempts import (
+    AttemptTools,
+    LeavingMemory,
+    SnapshotSource,
+)
+from cassiarail.gateway.background import BackgroundJobs
+from cassiarail.gateway.chat import ChatEndpoint
+from cassiarail.gateway.completions import CompletionTools
+from cassiarail.gateway.directory import (
+    DeclarationsSource,
+    DirectorySource,
+    PolicyResolver,
+    resolve_policy,
+)
+from cassiarail.gateway.drain import RequestRegistry
+from cassiarail.gateway.endpoints import EndpointTools, GatewayLimits
+from cassiarail.gateway.hooks import (
+    Admission,
+    CrashGuard,
+    FewestInFlight,
+    NoCrashGuard,
+    OpenAdmission,
+    RetryBudget,
+    ShareOfSuccesses,
+    TargetChooser,
+)
+from cassiarail.gateway.idempotency import OnceTools
+from cassiarail.gateway.metrics import GatewayMetrics
+from cassiarail.gateway.routes import (
+    CancelEndpoint,
+    ModelsEndpoint,
+    UnknownEndpoint,
+)
+from cassiarail.gateway.service_runs import ServiceTools
+from cassiarail.gateway.services import ServiceEndpoint
+from cassiarail.gateway.tracing import HopTracer
+from cassiarail.store.backends.base import ObjectStore
+from cassiarail.store.claims import ClaimBook
+from cassiarail.targets.backends.engine import Engine
+from cassiarail.targets.backends.service import PlainService
+from cassiarail.targets.connections import ConnectionPools, TransportFactory
+
+
+class GatewayHooks(NamedTuple):
+    """Hold the replaceable decisions of the request path."""
+
+    admission: Admission
+    chooser: TargetChooser
+    guard: CrashGuard
+    budget: RetryBudget
+
+    @classmethod
+    def permissive(cls) -> 'GatewayHooks':
+        """Return hooks that admit everything."""
+        return cls(
+            OpenAdmission(),
+            FewestInFlight(),
+            NoCrashGuard(),
+            ShareOfSuccesses(),
+        )
+
+
+class GatewayEnvironment(NamedTuple):
+    """Hold what a gateway needs from the rest of its process.
+
+    ``name`` identifies the gateway in claims. ``transports`` makes one
+    transport, so one pool of connections, per target address.
+    """
+
+    name: str
+    snapshot: SnapshotSource
+    declarations: DeclarationsSource
+    store: ObjectStore
+    clock: Clock
+    generator: random.Random
+    transports: TransportFactory
+    registry: CollectorRegistry
+    tracer: trace.Tracer
+    limits: GatewayLimits = GatewayLimits()
+    resolver: PolicyResolver = resolve_policy
+
+
+class GatewayApplication:
+    """Own the request path of one gateway.
+
+    ``asgi`` serves callers. ``components`` must run in the process's
+    application, after the server in order, so that at a stop the requests
+    finish before the server closes.
+    """
+
+    def __init__(
+        self,
+        environment: GatewayEnvironment,
+        hooks: GatewayHooks | None = None,
+    ) -> None:
+        self.requests = RequestRegistry()
+        self.jobs = BackgroundJobs()
+        self.pools = ConnectionPools(environment.transports)
+        self.metrics = GatewayMetrics(environment.registry)
+        self._environment = environment
+        self._hooks = hooks or GatewayHooks.permissive()
+        self._tracer = HopTracer(environment.tracer)
+        self.asgi = self._build_asgi()
+
+    @property
+    def components(self) -> tuple[BackgroundJobs, RequestRegistry]:
+        """Return the parts with a life cycle, in the order of their start."""
+        return (self.jobs, self.requests)
+
+    def _build_asgi(self) -> Starlette:
+        environment = self._environment
+        tools = EndpointTools(
+            directories=DirectorySource(
+                environment.declarations,
+                environment.resolver,
+            ),
+            requests=self.requests,
+            admission=self._hooks.admission,
+            clock=environment.clock,
+            generator=environment.generator,
+            metrics=self.metrics,
+            tracer=self._tracer,
+            limits=environment.limits,
+        )
+        leaving = LeavingMemory(environment.clock)
+        completions = self._build_completions(leaving)
+        services = self._build_services(leaving)
+        return Starlette(
+            routes=[
+                Route('/v1/chat/completions', ChatEndpoint(tools, completions)),
+                Route('/v1/models', ModelsEndpoint(tools)),
+                Route('/v1/requests/{request_id}', CancelEndpoint(tools)),
+                Route(
+                    '/services/{service}/{path:path}',
+                    ServiceEndpoint(tools, services),
+                ),
+                Route('/{path:path}', UnknownEndpoint(tools)),
+            ],
+        )
+
+    def _build_attempts(self) -> AttemptTools:
+        environment = self._environment
+        return AttemptTools(
+            snapshot=environment.snapshot,
+            chooser=self._hooks.chooser,
+            guard=self._hooks.guard,
+            budget=self._hooks.budget,
+            clock=environment.clock,
+            generator=environment.generator,
+            metrics=self.metrics,
+            tracer=self._tracer,
+            connect_timeout_s=environment.limits.connect_timeout_s,
+        )
+
+    def _build_completions(self, leaving: LeavingMemory) -> CompletionTools:
+        return CompletionTools(
+            self._build_attempts(),
+            Engine(self.pools, self._environment.clock),
+            self.jobs,
+            leaving,
+        )
+
+    def _build_services(self, leaving: LeavingMemory) -> ServiceTools:
+        environment = self._environment
+        book = ClaimBook(
+            environment.store,
+            environment.name,
+            environment.clock,
+            environment.generator,
+            self.jobs.submit,
+        )
+        return ServiceTools(
+            self._build_attempts(),
+            PlainService(self.pools, environment.clock),
+            OnceTools(book, self.jobs, self.metrics),
+            leaving,
+        )
--- /dev/null
+++ b/cassiarail/gateway/attempts.py
@@ -0,0 +1,251 @@
+"""Make attempts at targets until one gives a complete answer."""
+
+import contextlib
+import random
+from collections.abc import Callable, Iterator, Sequence
+from typing import NamedTuple
+
+from opentelemetry.context import Context
+
+from cassiarail.core.backoff import Backoff
+from cassiarail.core.clock import Clock
+from cassiarail.core.events import emit_event
+from cassiarail.core.exceptions import (
+    CassiarailError,
+    TargetError,
+    TargetRefusedError,
+)
+from cassiarail.core.verdict import Verdict, combine_verdicts
+from cassiarail.gateway.events import RETRY_REFUSED
+from cassiarail.gateway.exceptions import AttemptsFailedError, NoTargetError
+from cassiarail.gateway.hooks import (
+    AttemptOutcome,
+    CrashGuard,
+    RequestFacts,
+    RetryBudget,
+    TargetChooser,
+)
+from cassiarail.gateway.metrics import GatewayMetrics
+from cassiarail.gateway.tracing import HopTracer, write_headers
+from cassiarail.routing.snapshot import RoutingSnapshot, TargetState
+from cassiarail.targets.backends.base import Hop
+
+SnapshotSource = Callable[[], RoutingSnapshot]
+# Attempts of one request without progress, after which it fails.
+MAX_ATTEMPTS = 6
+_RETRY_AFTER_S = 1
+_RETRY_BASE_S = 0.02
+_RETRY_CAP_S = 1
+_LEAVING_MEMORY_S = 5
+_LEAVING = 'leaving'
+
+
+class AttemptTools(NamedTuple):
+    """Hold what all attempts of a gateway share."""
+
+    snapshot: SnapshotSource
+    chooser: TargetChooser
+    guard: CrashGuard
+    budget: RetryBudget
+    clock: Clock
+    generator: random.Random
+    metrics: GatewayMetrics
+    tracer: HopTracer
+    connect_timeout_s: float = 1
+    backoff: Backoff = Backoff(base_s=_RETRY_BASE_S, cap_s=_RETRY_CAP_S)
+
+
+class LeavingMemory:
+    """Remember targets that refused because they are leaving.
+
+    The snapshot lags by up to the poll of the controller; until it tells the
+    same, no new work goes to such an instance.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._until: dict[tuple[str, str], float] = {}
+
+    def note(self, target: TargetState) -> None:
+        """Remember an instance that is leaving."""
+        now = self._clock.monotonic()
+        self._until = {
+            key: until for key, until in self._until.items() if until > now
+        }
+        self._until[target.name, target.instance] = now + _LEAVING_MEMORY_S
+
+    def holds(self, target: TargetState) -> bool:
+        """Tell whether an instance said lately that it is leaving."""
+        until = self._until.get((target.name, target.instance))
+        return until is not None and until > self._clock.monotonic()
+
+
+class VerdictTrail:
+    """Combine the verdicts of the attempts of one request."""
+
+    def __init__(self) -> None:
+        self._verdicts: list[Verdict] = []
+
+    @contextlib.contextmanager
+    def attempt(self) -> Iterator[None]:
+        """Count an attempt as one that may have run, unless it says not.
+
+        The verdict is entered before the attempt begins, so that a
+        cancellation in the middle leaves the right one.
+        """
+        position = len(self._verdicts)
+        self._verdicts.append(Verdict.MAY_HAVE_RUN)
+        try:
+            yield
+        except TargetError as error:
+            self._verdicts[position] = error.verdict
+            raise
+        self._verdicts[position] = Verdict.RAN
+
+    def combined(self) -> Verdict:
+        """Return the strongest verdict so far."""
+        return combine_verdicts(self._verdicts)
+
+
+class AttemptPlan:
+    """Choose the targets of one request and pace its attempts."""
+
+    def __init__(
+        self,
+        tools: AttemptTools,
+        facts: RequestFacts,
+        leaving: LeavingMemory,
+    ) -> None:
+        self.tools = tools
+        self.facts = facts
+        self.verdicts = VerdictTrail()
+        self._leaving = leaving
+        self._failed: set[str] = set()
+        self._attempts = 0
+        self._last_error: CassiarailError | None = None
+
+    async def next_target(
+        self,
+        candidates: Sequence[TargetState],
+    ) -> TargetState:
+        """Return the target of the next attempt, after a delay for a retry.
+
+        Raises ``NoTargetError`` or ``AttemptsFailedError``.
+        """
+        if self._attempts:
+            await self._pace_retry()
+        self._attempts += 1
+        usable = [
+            target
+            for target in candidates
+            if not target.leaving and not self._leaving.holds(target)
+        ]
+        if not usable:
+            raise NoTargetError(
+                'no live target can take the request',
+                verdict=self.verdicts.combined(),
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        untried = [
+            target for target in usable if target.name not in self._failed
+        ]
+        if not untried:
+            self._failed.clear()
+        return self.tools.chooser.choose(untried or usable, self.facts)
+
+    def note_failure(self, target: TargetState, error: TargetError) -> None:
+        """Remember why an attempt failed."""
+        self._failed.add(target.name)
+        self._last_error = error
+        refused = isinstance(error, TargetRefusedError)
+        if refused and getattr(error, 'reason', '') == _LEAVING:
+            self._leaving.note(target)
+
+    def note_progress(self) -> None:
+        """Give a request that receives tokens its attempts back."""
+        self._attempts = min(self._attempts, 1)
+
+    def build_hop(self, context: Context, idle_s: float) -> Hop:
+        """Return what the next attempt hands on."""
+        return Hop(
+            request_id=self.facts.request_id,
+            deadline=self.facts.deadline,
+            connect_s=self.tools.connect_timeout_s,
+            idle_s=idle_s,
+            headers=write_headers(context),
+        )
+
+    async def _pace_retry(self) -> None:
+        if self._attempts >= MAX_ATTEMPTS:
+            raise self._describe_failure('every attempt failed')
+        if not self.tools.budget.try_spend():
+            emit_event(RETRY_REFUSED, request=self.facts.request_id)
+            raise self._describe_failure('the retry budget is exhausted')
+        delay = self.tools.backoff.delay(
+            self._attempts - 1,
+            self.tools.generator,
+        )
+        await self.tools.clock.sleep(delay)
+
+    def _describe_failure(self, reason: str) -> AttemptsFailedError:
+        return AttemptsFailedError(
+            f'{reason}; last error: {self._last_error}',
+            verdict=self.verdicts.combined(),
+            retry_after_s=_RETRY_AFTER_S,
+        )
+
+
+class AttemptClock:
+    """Time one attempt and report its outcome exactly once."""
+
+    def __init__(
+        self,
+        tools: AttemptTools,
+        target: TargetState,
+        facts: RequestFacts,
+    ) -> None:
+        self._tools = tools
+        self._target = target
+        self._facts = facts
+        self._started_at = tools.clock.monotonic()
+        self._first_byte_s: float | None = None
+        tools.chooser.on_sent(target, facts)
+
+    def note_first_byte(self) -> None:
+        """Note that the answer began."""
+        if self._first_byte_s is None:
+            self._first_byte_s = self._elapsed()
+
+    @contextlib.contextmanager
+    def measure(self) -> Iterator[None]:
+        """Report the outcome of the block."""
+        outcome = 'abandoned'
+        try:
+            yield
+        except CassiarailError as error:
+            outcome = error.code
+            raise
+        else:
+            outcome = 'answered'
+        finally:
+            self._report(outcome)
+
+    def _report(self, outcome: str) -> None:
+        self._tools.metrics.attempts.labels(
+            self._facts.service,
+            outcome,
+        ).inc()
+        self._tools.chooser.on_finished(
+            self._target,
+            self._facts,
+            AttemptOutcome(
+                succeeded=outcome == 'answered',
+                elapsed_s=self._elapsed(),
+                first_byte_s=self._first_byte_s,
+                refused=outcome == TargetRefusedError.code,
+                abandoned=outcome == 'abandoned',
+            ),
+        )
+
+    def _elapsed(self) -> float:
+        return self._tools.clock.monotonic() - self._started_at
--- /dev/null
+++ b/cassiarail/gateway/background.py
@@ -0,0 +1,65 @@
+"""Run work that outlives the request which caused it."""
+
+import collections
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from cassiarail.core.lifecycle import Component
+
+Job = Callable[[], Awaitable[None]]
+_CAPACITY = 2000
+_PARALLEL = 32
+_DRAIN_S = 5
+
+
+class BackgroundJobs(Component):
+    """Run submitted jobs, a bounded number at a time.
+
+    Jobs handle their own errors. What is queued at the end of the drain time
+    is given up.
+    """
+
+    name = 'background-jobs'
+
+    def __init__(self, capacity: int = _CAPACITY) -> None:
+        self._capacity = capacity
+        self._queue: collections.deque[Job] = collections.deque()
+        self._running = 0
+        self._changed = anyio.Event()
+
+    def is_full(self) -> bool:
+        """Tell whether new work that may need a job should be refused."""
+        return len(self._queue) + self._running >= self._capacity
+
+    def submit(self, job: Job) -> None:
+        """Queue a job; never fails, so that no clean-up is lost."""
+        self._queue.append(job)
+        self._signal()
+
+    async def run(self) -> None:
+        """Run jobs until cancelled."""
+        self._running = 0
+        async with anyio.create_task_group() as group:
+            while True:
+                while self._queue and self._running < _PARALLEL:
+                    self._running += 1
+                    group.start_soon(self._run_job, self._queue.popleft())
+                await self._changed.wait()
+
+    async def drain(self) -> None:
+        """Wait until all jobs are done, for a bounded time."""
+        with anyio.move_on_after(_DRAIN_S):
+            while self._queue or self._running:
+                await self._changed.wait()
+
+    async def _run_job(self, job: Job) -> None:
+        try:
+            await job()
+        finally:
+            self._running -= 1
+            self._signal()
+
+    def _signal(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
--- /dev/null
+++ b/cassiarail/gateway/bodies.py
@@ -0,0 +1,52 @@
+"""Read bodies of callers within limits of size and time."""
+
+from collections.abc import Mapping
+
+import anyio
+from starlette.types import Receive
+
+from cassiarail.gateway.exceptions import (
+    BodyTimeoutError,
+    BodyTooLargeError,
+    IncompleteBodyError,
+)
+
+
+async def read_body(
+    headers: Mapping[str, str],
+    receive: Receive,
+    limit: int,
+    timeout_s: float,
+) -> bytes:
+    """Return the whole body.
+
+    Raises ``BodyTooLargeError`` above ``limit`` bytes, ``BodyTimeoutError``
+    after ``timeout_s`` seconds, and ``IncompleteBodyError`` if the caller
+    left.
+    """
+    announced = headers.get('content-length', '')
+    if announced.isdigit() and int(announced) > limit:
+        raise BodyTooLargeError(f'body is above {limit} bytes')
+    body = None
+    with anyio.move_on_after(timeout_s):
+        body = await _collect(receive, limit)
+    if body is None:
+        raise BodyTimeoutError(f'body was not received in {timeout_s} s')
+    return body
+
+
+async def _collect(receive: Receive, limit: int) -> bytes:
+    chunks = []
+    size = 0
+    more = True
+    while more:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise IncompleteBodyError('the caller left during the body')
+        chunk = message.get('body', b'')
+        size += len(chunk)
+        if size > limit:
+            raise BodyTooLargeError(f'body is above {limit} bytes')
+        chunks.append(chunk)
+        more = message.get('more_body', False)
+    return b''.join(chunks)
--- /dev/null
+++ b/cassiarail/gateway/chat.py
@@ -0,0 +1,187 @@
+"""Serve completions, whole and streamed."""
+
+import functools
+from collections.abc import Mapping
+from typing import Any
+
+from cassiarail.core.verdict import Verdict
+from cassiarail.declarations.schema import CallerDocument, Match
+from cassiarail.gateway.completions import (
+    CompletionJob,
+    CompletionStream,
+    CompletionTools,
+)
+from cassiarail.gateway.directory import Directory
+from cassiarail.gateway.endpoints import (
+    Call,
+    Endpoint,
+    EndpointTools,
+    run_cancellable,
+)
+from cassiarail.gateway.exceptions import (
+    InvalidFieldError,
+    NotFoundError,
+)
+from cassiarail.gateway.hooks import RequestFacts
+from cassiarail.gateway.relay import DONE_EVENT, EventCursor
+from cassiarail.gateway.requests import (
+    ChatRequest,
+    compute_fingerprint,
+    compute_prefix,
+    parse_chat,
+)
+
+
+class ChatEndpoint(Endpoint):
+    """Serve ``POST /v1/chat/completions``."""
+
+    route = 'chat'
+
+    def __init__(
+        self,
+        tools: EndpointTools,
+        completions: CompletionTools,
+    ) -> None:
+        super().__init__(tools)
+        self._completions = completions
+
+    async def serve(self, call: Call) -> None:
+        """Check a request, run it and answer."""
+        if call.scope['method'] != 'POST':
+            raise NotFoundError('completions are requested by POST')
+        caller, directory = self.authenticate(call)
+        request = parse_chat(await self.read_body(call))
+        job = self._prepare(call, request, caller, directory)
+        await self._completions.attempts.guard.check(job.facts.fingerprint)
+        call.running.caller = caller['name']
+        stream = CompletionStream(self._completions, job)
+        try:
+            await run_cancellable(
+                call,
+                job.facts.deadline,
+                self.tools.clock,
+                functools.partial(self._serve, call, request, stream, job),
+                stream.plan.verdicts.combined,
+            )
+        finally:
+            self.tools.metrics.tokens.inc(stream.cursor.delivered)
+            self.tools.metrics.bytes.inc(stream.cursor.byte_count)
+
+    def _prepare(
+        self,
+        call: Call,
+        request: ChatRequest,
+        caller: CallerDocument,
+        directory: Directory,
+    ) -> CompletionJob:
+        """Resolve what the declarations say about a request."""
+        model = directory.find_model(caller, request.model, request.adapter)
+        policy = directory.resolve(
+            Match(
+                model=model['name'],
+                service=model['service'],
+                caller=caller['name'],
+            ),
+        )
+        if (request.max_tokens or 0) > policy.max_tokens:
+            raise InvalidFieldError(
+                f'$.max_tokens: at most {policy.max_tokens} for this model',
+            )
+        asked = request.priority
+        facts = RequestFacts(
+            request_id=call.request_id,
+            caller=caller['name'],
+            service=model['service'],
+            deadline=self.read_deadline(call, policy.timeout_s),
+            model=model['name'],
+            adapter=request.adapter,
+            prefix=compute_prefix(request),
+            fingerprint=compute_fingerprint(caller['name'], request),
+            priority=policy.priority if asked is None else asked,
+            weight=caller.get('weight', 1),
+        )
+        document = {
+            'max_tokens': policy.max_tokens,
+            **request.document,
+            'priority': facts.priority,
+        }
+        return CompletionJob(
+            facts,
+            document,
+            policy.idle_timeout_s,
+            call.trace,
+        )
+
+    async def _serve(
+        self,
+        call: Call,
+        request: ChatRequest,
+        stream: CompletionStream,
+        job: CompletionJob,
+    ) -> None:
+        relay = _FirstTokenMetric(call, self.tools)
+        async with self.tools.admission.admit(job.facts):
+            if request.stream:
+                await stream.run(relay.send)
+                await call.reply.end_stream(DONE_EVENT)
+            else:
+                await stream.run(relay.note)
+                await call.reply.send_json(
+                    build_whole(call.request_id, request, stream.cursor),
+                    Verdict.RAN,
+                )
+
+
+class _FirstTokenMetric:
+    """Observe the time to the first token of one request."""
+
+    def __init__(self, call: Call, tools: EndpointTools) -> None:
+        self._call = call
+        self._tools = tools
+        self._is_observed = False
+
+    async def send(self, block: bytes) -> None:
+        """Relay a block to the caller."""
+        await self.note(block)
+        await self._call.reply.send_block(block)
+
+    async def note(self, block: bytes) -> None:
+        """Observe a block that is kept for a whole answer."""
+        if self._is_observed:
+            return
+        self._is_observed = True
+        self._tools.metrics.first_token.observe(
+            self._tools.clock.monotonic() - self._call.arrived_at,
+        )
+
+
+def build_whole(
+    request_id: str,
+    request: ChatRequest,
+    cursor: EventCursor,
+) -> Mapping[str, Any]:
+    """Return the whole answer of a complete stream.
+
+    Engines stream no usage; without one in the last event, the prompt is
+    counted in words.
+    """
+    usage = cursor.last_document().get('usage')
+    prompt_tokens = sum(
+        len(message['content'].split()) for message in request.messages
+    )
+    if isinstance(usage, dict):
+        prompt_tokens = usage.get('prompt_tokens', prompt_tokens)
+    choice = {
+        'index': 0,
+        'message': {'role': 'assistant', 'content': cursor.text()},
+        'finish_reason': cursor.finish_reason(),
+    }
+    return {
+        'id': request_id,
+        'model': request.model,
+        'choices': [choice],
+        'usage': {
+            'prompt_tokens': prompt_tokens,
+            'completion_tokens': cursor.delivered,
+        },
+    }
--- /dev/null
+++ b/cassiarail/gateway/completions.py
@@ -0,0 +1,291 @@
+"""Produce one complete token stream from as many attempts as needed."""
+
+import contextlib
+import functools
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from typing import Any, NamedTuple
+
+import anyio
+from opentelemetry.context import Context
+
+from cassiarail.core.events import emit_event
+from cassiarail.core.exceptions import (
+    ConnectFailedError,
+    ConnectionLostError,
+    IdleTimeoutError,
+    TargetError,
+    TargetRefusedError,
+)
+from cassiarail.gateway.attempts import (
+    AttemptClock,
+    AttemptPlan,
+    AttemptTools,
+    LeavingMemory,
+)
+from cassiarail.gateway.background import BackgroundJobs
+from cassiarail.gateway.events import (
+    STREAM_RESUMED,
+    TARGET_CONNECTION_LOST,
+    TARGET_SILENT,
+)
+from cassiarail.gateway.hooks import RequestFacts
+from cassiarail.gateway.relay import EventCursor
+from cassiarail.routing.snapshot import TargetKind, TargetState
+from cassiarail.targets.backends.base import Hop
+from cassiarail.targets.backends.engine import Engine
+from cassiarail.targets.connections import TargetAnswer
+from cassiarail.targets.exceptions import (
+    StreamGapError,
+    StreamUnknownError,
+    TargetRejectedError,
+)
+
+Deliver = Callable[[bytes], Awaitable[None]]
+_RESUMABLE = (ConnectionLostError, IdleTimeoutError, StreamGapError)
+_NOT_RESUMABLE_THERE = (
+    ConnectFailedError,
+    StreamUnknownError,
+    TargetRefusedError,
+)
+# Connections to one target that end without a new token before another one
+# is used.
+_STALLS_PER_TARGET = 2
+# The end of a body after [DONE] is awaited only so that the connection can be
+# used again.
+_BODY_END_S = 0.1
+
+
+class CompletionJob(NamedTuple):
+    """Hold what a completion needs besides the shared tools."""
+
+    facts: RequestFacts
+    document: Mapping[str, Any]
+    idle_s: float
+    context: Context
+
+
+class CompletionTools(NamedTuple):
+    """Hold what all completions of a gateway share."""
+
+    attempts: AttemptTools
+    engine: Engine
+    jobs: BackgroundJobs
+    leaving: LeavingMemory
+
+
+class CompletionStream:
+    """Relay the tokens of one request without gap or repeat."""
+
+    def __init__(self, tools: CompletionTools, job: CompletionJob) -> None:
+        self.cursor = EventCursor()
+        self.plan = AttemptPlan(tools.attempts, job.facts, tools.leaving)
+        self._tools = tools
+        self._job = job
+
+    async def run(self, deliver: Deliver) -> None:
+        """Deliver blocks of whole events until the stream is complete.
+
+        Raises ``RequestError`` where no attempt may be made any more, and
+        ``TargetRejectedError`` where every target would answer the same.
+        """
+        while not self.cursor.is_complete:
+            target = await self.plan.next_target(self._find_candidates())
+            try:
+                await self._attempt(target, deliver)
+            except TargetRejectedError:
+                raise
+            except TargetError as error:
+                self.plan.note_failure(target, error)
+        self._tools.attempts.budget.record_success()
+
+    def _find_candidates(self) -> list[TargetState]:
+        facts = self._job.facts
+        snapshot = self._tools.attempts.snapshot()
+        adapter = f'{facts.model}/{facts.adapter}' if facts.adapter else ''
+        return [
+            target
+            for target in snapshot.find_targets(facts.service)
+            if target.kind is TargetKind.ENGINE
+            and facts.model in target.models
+            and (not adapter or adapter in target.adapters)
+        ]
+
+    async def _attempt(self, target: TargetState, deliver: Deliver) -> None:
+        facts = self._job.facts
+        tools = self._tools.attempts
+        timing = AttemptClock(tools, target, facts)
+        with (
+            timing.measure(),
+            tools.tracer.span(
+                'cassiarail.gateway.attempt',
+                self._job.context,
+                target=target.name,
+            ) as context,
+            self.plan.verdicts.attempt(),
+        ):
+            hop = self.plan.build_hop(context, self._job.idle_s)
+            async with self._guard(target, hop):
+                await self._follow(target, hop, _Delivery(deliver, timing))
+
+    @contextlib.asynccontextmanager
+    async def _guard(
+        self,
+        target: TargetState,
+        hop: Hop,
+    ) -> AsyncIterator[None]:
+        """Report to the crash guard, and cancel what the engine still runs."""
+        guard = self._tools.attempts.guard
+        fingerprint = self._job.facts.fingerprint
+        await guard.on_start(fingerprint, target.name)
+        try:
+            yield
+        except ConnectionLostError:
+            await guard.on_crash(fingerprint, target.name)
+            raise
+        except BaseException as error:
+            if not _certainly_idle(error):
+                self._cancel_later(target, hop)
+            with anyio.CancelScope(shield=True):
+                await guard.on_end(fingerprint, target.name)
+            raise
+        await guard.on_success(fingerprint, target.name)
+
+    def _cancel_later(self, target: TargetState, hop: Hop) -> None:
+        self._tools.jobs.submit(
+            functools.partial(self._cancel, target, hop),
+        )
+
+    async def _cancel(self, target: TargetState, hop: Hop) -> None:
+        with anyio.move_on_after(hop.connect_s + hop.idle_s):
+            await self._tools.engine.cancel_stream(target.address, hop)
+
+    async def _follow(
+        self,
+        target: TargetState,
+        hop: Hop,
+        delivery: '_Delivery',
+    ) -> None:
+        """Read from one target, over several connections if they fail."""
+        failure: TargetError | None = None
+        stalls = 0
+        while not self.cursor.is_complete:
+            before = self.cursor.delivered
+            try:
+                await self._read_connection(target, hop, delivery, failure)
+            except _NOT_RESUMABLE_THERE as error:
+                raise failure or error from error
+            except _RESUMABLE as error:
+                failure = error
+                self._note_broken(target, error)
+                stalls = stalls + 1 if self.cursor.delivered == before else 0
+                if stalls >= _STALLS_PER_TARGET:
+                    raise
+
+    async def _read_connection(
+        self,
+        target: TargetState,
+        hop: Hop,
+        delivery: '_Delivery',
+        failure: TargetError | None,
+    ) -> None:
+        opened = (
+            self._start(target, hop)
+            if failure is None
+            else self._resume(target, hop)
+        )
+        async with opened as answer:
+            self.cursor.start_connection()
+            await self._relay(answer, delivery)
+
+    def _start(
+        self,
+        target: TargetState,
+        hop: Hop,
+    ) -> contextlib.AbstractAsyncContextManager[TargetAnswer]:
+        document = {**self._job.document, 'stream': True}
+        if self.cursor.delivered:
+            document['resume_after'] = self.cursor.delivered
+            document['generated'] = self.cursor.text()
+            self._note_resumed(target, 'other')
+        return self._tools.engine.open_stream(target.address, hop, document)
+
+    def _resume(
+        self,
+        target: TargetState,
+        hop: Hop,
+    ) -> contextlib.AbstractAsyncContextManager[TargetAnswer]:
+        self._note_resumed(target, 'same')
+        return self._tools.engine.resume_stream(
+            target.address,
+            hop,
+            self.cursor.delivered,
+        )
+
+    async def _relay(
+        self,
+        answer: TargetAnswer,
+        delivery: '_Delivery',
+    ) -> None:
+        chunks = answer.iterate_chunks()
+        async with contextlib.aclosing(chunks):
+            async for chunk in chunks:
+                block = self.cursor.feed(chunk)
+                if block:
+                    await delivery.send(block)
+                    self.plan.note_progress()
+                if self.cursor.failure is not None:
+                    raise self.cursor.failure
+                if self.cursor.is_complete:
+                    await _read_body_end(chunks)
+                    return
+        raise ConnectionLostError('stream ended before it was complete')
+
+    def _note_resumed(self, target: TargetState, where: str) -> None:
+        self._tools.attempts.metrics.resumes.labels(where).inc()
+        emit_event(
+            STREAM_RESUMED,
+            request=self._job.facts.request_id,
+            target=target.name,
+            where=where,
+            after=self.cursor.delivered,
+        )
+
+    def _note_broken(self, target: TargetState, error: TargetError) -> None:
+        self.cursor.finish_connection()
+        silent = isinstance(error, IdleTimeoutError)
+        emit_event(
+            TARGET_SILENT if silent else TARGET_CONNECTION_LOST,
+            request=self._job.facts.request_id,
+            target=target.name,
+            error=error.code,
+        )
+
+
+class _Delivery:
+    """Send blocks to the caller and note when the first one went."""
+
+    def __init__(self, deliver: Deliver, timing: AttemptClock) -> None:
+        self._deliver = deliver
+        self._timing = timing
+
+    async def send(self, block: bytes) -> None:
+        """Send a block of events."""
+        self._timing.note_first_byte()
+        await self._deliver(block)
+
+
+def _certainly_idle(error: BaseException) -> bool:
+    """Tell whether the engine certainly holds nothing of the request."""
+    return isinstance(
+        error,
+        (*_NOT_RESUMABLE_THERE, TargetRejectedError),
+    )
+
+
+async def _read_body_end(chunks: AsyncIterator[bytes]) -> None:
+    with (
+        anyio.move_on_after(_BODY_END_S),
+        contextlib.suppress(TargetError, StopAsyncIteration),
+    ):
+        while True:
+            await anext(chunks)
--- /dev/null
+++ b/cassiarail/gateway/endpoints.py
@@ -0,0 +1,275 @@
+"""Handle what all routes of the callers' listener share."""
+
+import abc
+import random
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import anyio
+from starlette.datastructures import Headers
+from starlette.types import Receive, Scope, Send
+
+from cassiarail.core.clock import Clock
+from cassiarail.core.deadline import TIMEOUT_HEADER, Deadline
+from cassiarail.core.events import emit_event
+from cassiarail.core.exceptions import CassiarailError
+from cassiarail.core.verdict import Verdict
+from cassiarail.declarations.schema import CallerDocument
+from cassiarail.gateway.bodies import read_body
+from cassiarail.gateway.directory import Directory, DirectorySource
+from cassiarail.gateway.drain import RequestRegistry, RunningRequest
+from cassiarail.gateway.events import REQUEST_CANCELLED, REQUEST_CRASHED
+from cassiarail.gateway.exceptions import (
+    CancelledRequestError,
+    DeadlineExceededError,
+    DrainingError,
+    HeadersTooLargeError,
+    UnauthenticatedError,
+)
+from cassiarail.gateway.hooks import Admission
+from cassiarail.gateway.metrics import GatewayMetrics
+from cassiarail.gateway.replies import Reply
+from cassiarail.gateway.requests import parse_timeout
+from cassiarail.gateway.tracing import (
+    HopTracer,
+    TraceContext,
+    read_parent,
+    write_headers,
+)
+from cassiarail.security.keys import parse_bearer
+from cassiarail.targets.backends.base import REQUEST_ID_HEADER
+
+_ID_BITS = 128
+_ID_VERSION = 4
+_RETRY_AFTER_S = 1
+_BODY_LIMIT = 4_194_304
+_HEADER_LIMIT = 16_384
+
+
+class GatewayLimits(NamedTuple):
+    """Bound what a caller may send; sizes are bytes, times seconds."""
+
+    body_bytes: int = _BODY_LIMIT
+    header_bytes: int = _HEADER_LIMIT
+    body_time_s: float = 10
+    connect_timeout_s: float = 1
+
+
+class EndpointTools(NamedTuple):
+    """Hold what all endpoints share."""
+
+    directories: DirectorySource
+    requests: RequestRegistry
+    admission: Admission
+    clock: Clock
+    generator: random.Random
+    metrics: GatewayMetrics
+    tracer: HopTracer
+    limits: GatewayLimits
+
+
+class Call(NamedTuple):
+    """Hold one request while it is handled."""
+
+    request_id: str
+    scope: Scope
+    headers: Headers
+    receive: Receive
+    reply: Reply
+    running: RunningRequest
+    trace: TraceContext
+    arrived_at: float
+
+
+class Endpoint(abc.ABC):
+    """Serve one route; every failure becomes an answer with a verdict."""
+
+    route: str
+
+    def __init__(self, tools: EndpointTools) -> None:
+        self.tools = tools
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Serve one request as an ASGI application."""
+        tools = self.tools
+        request_id = create_request_id(tools.generator)
+        headers = Headers(scope=scope)
+        with (
+            tools.requests.enter(request_id) as running,
+            tools.metrics.in_progress.track_inprogress(),
+            tools.tracer.span(
+                'cassiarail.gateway.request',
+                read_parent(headers),
+                route=self.route,
+                request_id=request_id,
+            ) as context,
+        ):
+            reply = Reply(
+                send,
+                [
+                    (REQUEST_ID_HEADER, request_id),
+                    *write_headers(context).items(),
+                ],
+                close=tools.requests.is_draining,
+            )
+            await self._answer(
+                Call(
+                    request_id=request_id,
+                    scope=scope,
+                    headers=headers,
+                    receive=receive,
+                    reply=reply,
+                    running=running,
+                    trace=context,
+                    arrived_at=tools.clock.monotonic(),
+                ),
+            )
+            tools.metrics.requests.labels(
+                self.route,
+                reply.code,
+                reply.verdict.value,
+            ).inc()
+
+    @abc.abstractmethod
+    async def serve(self, call: Call) -> None:
+        """Answer a request, or raise the error to answer with."""
+
+    async def read_body(self, call: Call) -> bytes:
+        """Return the body within the limits of the gateway."""
+        limits = self.tools.limits
+        return await read_body(
+            call.headers,
+            call.receive,
+            limits.body_bytes,
+            limits.body_time_s,
+        )
+
+    def authenticate(self, call: Call) -> tuple[CallerDocument, Directory]:
+        """Return the caller and the declarations in force.
+
+        Raises ``UnauthenticatedError``.
+        """
+        directory = self.tools.directories.current()
+        key = parse_bearer(call.headers.get('authorization'))
+        if key is None:
+            raise UnauthenticatedError('the request carries no key')
+        caller = directory.key_ring.find_caller(key)
+        if caller is None:
+            raise UnauthenticatedError('the key is unknown')
+        return caller, directory
+
+    def read_deadline(self, call: Call, default_s: float) -> Deadline:
+        """Return the caller's deadline, or the default one."""
+        asked = parse_timeout(call.headers.get(TIMEOUT_HEADER))
+        seconds = default_s if asked is None else asked
+        return Deadline(call.arrived_at + seconds)
+
+    async def _answer(self, call: Call) -> None:
+        try:
+            await self._check_and_serve(call)
+        except CassiarailError as error:
+            await _send_error(call, error)
+        except Exception as error:
+            emit_event(
+                REQUEST_CRASHED,
+                request=call.request_id,
+                error=repr(error),
+            )
+            # What ran before the fault is unknown here.
+            await _send_error(
+                call,
+                CassiarailError(
+                    'the gateway failed',
+                    verdict=Verdict.MAY_HAVE_RUN,
+                ),
+            )
+
+    async def _check_and_serve(self, call: Call) -> None:
+        if self.tools.requests.is_draining:
+            raise DrainingError(
+                'the gateway is shutting down',
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        size = sum(len(name) + len(text) for name, text in call.headers.raw)
+        if size > self.tools.limits.header_bytes:
+            raise HeadersTooLargeError(
+                f'headers are above {self.tools.limits.header_bytes} bytes',
+            )
+        await self.serve(call)
+
+
+async def run_cancellable(
+    call: Call,
+    deadline: Deadline,
+    clock: Clock,
+    work: Callable[[], Awaitable[None]],
+    verdict: Callable[[], Verdict],
+) -> None:
+    """Run work until done, cancelled, past its deadline or left alone.
+
+    Raises ``CancelledRequestError`` or ``DeadlineExceededError`` with the
+    verdict so far. Returns without an answer if the caller left.
+    """
+    failure: CassiarailError | None = None
+    scope = call.running.scope
+    limit = anyio.move_on_after(deadline.remaining(clock))
+    async with anyio.create_task_group() as group:
+        group.start_soon(_watch_caller, call)
+        with limit, scope:
+            try:
+                await work()
+            except CassiarailError as error:
+                failure = error
+        group.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+    if limit.cancelled_caught:
+        raise DeadlineExceededError('deadline passed', verdict=verdict())
+    if scope.cancelled_caught:
+        _end_cancelled(call, verdict())
+
+
+def create_request_id(generator: random.Random) -> str:
+    """Return a new request id.
+
+    Ids are made here and never taken from callers, because engines look
+    streams up by them and two callers could send the same one.
+    """
+    bits = generator.getrandbits(_ID_BITS)
+    return str(uuid.UUID(int=bits, version=_ID_VERSION))
+
+
+def _end_cancelled(call: Call, verdict: Verdict) -> None:
+    emit_event(
+        REQUEST_CANCELLED,
+        request=call.request_id,
+        left=call.running.has_left,
+    )
+    if call.running.is_cancelled:
+        raise CancelledRequestError(
+            'the caller cancelled the request',
+            verdict=verdict,
+        )
+    call.reply.code = 'caller_left'
+    call.reply.verdict = verdict
+
+
+async def _watch_caller(call: Call) -> None:
+    while True:
+        message = await call.receive()
+        if message['type'] == 'http.disconnect':
+            call.running.abandon()
+            return
+
+
+async def _send_error(call: Call, error: CassiarailError) -> None:
+    try:
+        await call.reply.send_error(error)
+    except OSError:
+        call.reply.code = 'caller_left'
--- /dev/null
+++ b/cassiarail/gateway/idempotency.py
@@ -0,0 +1,149 @@
+"""Run a non-idempotent call at most once."""
+
+import hashlib
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from cassiarail.core.events import emit_event
+from cassiarail.core.exceptions import RequestError, TargetError
+from cassiarail.core.verdict import Verdict
+from cassiarail.gateway.attempts import AttemptPlan
+from cassiarail.gateway.background import BackgroundJobs
+from cassiarail.gateway.events import CLAIM_UNCERTAIN
+from cassiarail.gateway.exceptions import AttemptsFailedError
+from cassiarail.gateway.metrics import GatewayMetrics
+from cassiarail.routing.snapshot import TargetState
+from cassiarail.store.claim_errors import ClaimUnavailableError
+from cassiarail.store.claims import (
+    Claim,
+    ClaimBook,
+    ClaimRequest,
+    ClaimState,
+    RecordedAnswer,
+    record_answer,
+)
+from cassiarail.targets.backends.service import ServiceAnswer, ServiceCall
+
+SendOnce = Callable[[TargetState], Awaitable[ServiceAnswer]]
+FindTargets = Callable[[], list[TargetState]]
+_RETRY_AFTER_S = 2
+
+
+class OnceTools(NamedTuple):
+    """Hold what all non-idempotent calls of a gateway share."""
+
+    book: ClaimBook
+    jobs: BackgroundJobs
+    metrics: GatewayMetrics
+
+
+class OnceCall:
+    """Claim, send and close one non-idempotent call."""
+
+    def __init__(
+        self,
+        tools: OnceTools,
+        plan: AttemptPlan,
+        find_targets: FindTargets,
+        send: SendOnce,
+    ) -> None:
+        """Send by ``send``, which uses a fresh connection."""
+        self._tools = tools
+        self._plan = plan
+        self._find_targets = find_targets
+        self._send = send
+
+    async def run(
+        self,
+        request: ClaimRequest,
+    ) -> ServiceAnswer | RecordedAnswer:
+        """Return the answer of the call, or the recorded one.
+
+        Raises ``RequestError`` whose verdict is ``not-run`` only if no target
+        can have run the call under this key now.
+        """
+        if self._tools.jobs.is_full():
+            raise ClaimUnavailableError(
+                'too many claims wait for the store',
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        claim = await self._tools.book.claim(request)
+        if not isinstance(claim, Claim):
+            self._count('recorded')
+            return claim
+        try:
+            answer = await self._send_until_run(claim)
+        except RequestError:
+            raise
+        except BaseException:
+            self._close_unfinished(claim)
+            raise
+        return answer
+
+    async def _send_until_run(self, claim: Claim) -> ServiceAnswer:
+        while True:
+            target = await self._next_target(claim)
+            try:
+                answer = await self._send(target)
+            except TargetError as error:
+                if error.verdict is not Verdict.NOT_RUN:
+                    self._close_failed(claim, error)
+                    raise AttemptsFailedError(
+                        f'outcome of the call is unknown: {error}',
+                        verdict=error.verdict,
+                    ) from error
+                self._plan.note_failure(target, error)
+            else:
+                self._close_answered(claim, answer)
+                return answer
+
+    async def _next_target(self, claim: Claim) -> TargetState:
+        try:
+            return await self._plan.next_target(self._find_targets())
+        except RequestError:
+            self._count('void')
+            await self._tools.book.void(claim)
+            raise
+
+    def _close_answered(self, claim: Claim, answer: ServiceAnswer) -> None:
+        recorded = record_answer(
+            answer.status,
+            [list(pair) for pair in answer.headers],
+            answer.body,
+            answer.verdict.value,
+        )
+        self._count('done')
+        self._tools.book.close(claim, ClaimState.DONE, recorded)
+
+    def _close_failed(self, claim: Claim, error: TargetError) -> None:
+        ran = error.verdict is Verdict.RAN
+        state = ClaimState.DONE if ran else ClaimState.UNCERTAIN
+        self._count(state.value)
+        emit_event(CLAIM_UNCERTAIN, claim=claim.name, error=error.code)
+        self._tools.book.close(claim, state)
+
+    def _close_unfinished(self, claim: Claim) -> None:
+        """Close the claim of a call that was cancelled at its deadline."""
+        not_sent = self._plan.verdicts.combined() is Verdict.NOT_RUN
+        state = ClaimState.VOID if not_sent else ClaimState.UNCERTAIN
+        self._count(state.value)
+        self._tools.book.close(claim, state)
+
+    def _count(self, outcome: str) -> None:
+        self._tools.metrics.claims.labels(outcome).inc()
+
+
+def build_claim_request(
+    caller: str,
+    key: uuid.UUID,
+    service: str,
+    call: ServiceCall,
+) -> ClaimRequest:
+    """Return the identity of a call; all that its effect depends on counts."""
+    digest = hashlib.sha256()
+    for part in (service, call.method, call.path):
+        digest.update(part.encode())
+        digest.update(b'\0')
+    digest.update(call.body)
+    return ClaimRequest(caller, key, digest.hexdigest())
--- /dev/null
+++ b/cassiarail/gateway/services.py
@@ -0,0 +1,223 @@
+"""Serve calls of plain services."""
+
+import base64
+import functools
+import uuid
+from collections.abc import Iterable, Mapping
+
+import anyio
+
+from cassiarail.core.verdict import Verdict
+from cassiarail.declarations.schema import Match, ServiceDocument
+from cassiarail.gateway.endpoints import (
+    Call,
+    Endpoint,
+    EndpointTools,
+    run_cancellable,
+)
+from cassiarail.gateway.exceptions import (
+    DeadlineExceededError,
+    InvalidPathError,
+)
+from cassiarail.gateway.hooks import RequestFacts
+from cassiarail.gateway.requests import check_path
+from cassiarail.gateway.service_runs import (
+    ServiceJob,
+    ServiceRun,
+    ServiceTools,
+)
+from cassiarail.store.claims import RecordedAnswer, parse_idempotency_key
+from cassiarail.targets.backends.service import ServiceAnswer, ServiceCall
+
+_IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'PUT', 'DELETE'))
+_HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'x-request-id',
+        'x-verdict',
+        'traceparent',
+        'tracestate',
+    ),
+)
+# The caller's key is the gateway's affair; targets never see it.
+_DROPPED_FROM_REQUEST = _HOP_HEADERS | {
+    'authorization',
+    'host',
+    'expect',
+    'x-timeout-ms',
+}
+_SERVICE_PARTS = 2
+
+
+class ServiceEndpoint(Endpoint):
+    """Serve ``ANY /services/{service}/{path}``."""
+
+    route = 'service'
+
+    def __init__(self, tools: EndpointTools, services: ServiceTools) -> None:
+        super().__init__(tools)
+        self._services = services
+
+    async def serve(self, call: Call) -> None:
+        """Check a call, run it and answer."""
+        caller, directory = self.authenticate(call)
+        name = call.scope['path_params']['service']
+        service = directory.find_service(caller, name)
+        policy = directory.resolve(Match(service=name, caller=caller['name']))
+        facts = RequestFacts(
+            request_id=call.request_id,
+            caller=caller['name'],
+            service=name,
+            deadline=self.read_deadline(call, policy.timeout_s),
+            priority=policy.priority,
+            weight=caller.get('weight', 1),
+        )
+        path = read_target_path(call)
+        key = self._read_key(call, service, path)
+        service_call = ServiceCall(
+            call.scope['method'],
+            path,
+            filter_headers(call.headers.items(), _DROPPED_FROM_REQUEST),
+            await self.read_body(call),
+        )
+        run = ServiceRun(
+            self._services,
+            ServiceJob(
+                facts,
+                service_call,
+                policy.idle_timeout_s,
+                call.trace,
+            ),
+        )
+        await self._run(call, run, key)
+
+    def _read_key(
+        self,
+        call: Call,
+        service: ServiceDocument,
+        path: str,
+    ) -> uuid.UUID | None:
+        """Return the checked key of a call that must not be repeated."""
+        if is_idempotent(service, call.scope['method'], path):
+            return None
+        return parse_idempotency_key(
+            call.headers.get('idempotency-key'),
+            self.tools.clock.now(),
+        )
+
+    async def _run(
+        self,
+        call: Call,
+        run: ServiceRun,
+        key: uuid.UUID | None,
+    ) -> None:
+        if key is not None:
+            await self._run_once(call, run, key)
+            return
+        call.running.caller = run.job.facts.caller
+        await run_cancellable(
+            call,
+            run.job.facts.deadline,
+            self.tools.clock,
+            functools.partial(self._run_idempotent, call, run),
+            run.plan.verdicts.combined,
+        )
+
+    async def _run_idempotent(self, call: Call, run: ServiceRun) -> None:
+        async with self.tools.admission.admit(run.job.facts):
+            await send_answer(call, await run.call_idempotent())
+
+    async def _run_once(
+        self,
+        call: Call,
+        run: ServiceRun,
+        key: uuid.UUID,
+    ) -> None:
+        """Run a call that goes on even if its caller leaves.
+
+        Its outcome has to be recorded for the caller's next attempt, so only
+        the deadline ends it.
+        """
+        facts = run.job.facts
+        answer = None
+        with anyio.move_on_after(facts.deadline.remaining(self.tools.clock)):
+            async with self.tools.admission.admit(facts):
+                answer = await run.call_once(key)
+        if answer is None:
+            raise DeadlineExceededError(
+                'deadline passed',
+                verdict=run.plan.verdicts.combined(),
+            )
+        if isinstance(answer, ServiceAnswer):
+            await send_answer(call, answer)
+        else:
+            await send_answer(call, restore_answer(answer))
+
+
+def is_idempotent(service: ServiceDocument, method: str, path: str) -> bool:
+    """Tell whether a call may be repeated.
+
+    Only an exact path counts, so that an unusual spelling of a declared path
+    asks for a key and is not repeated.
+    """
+    if method in _IDEMPOTENT_METHODS:
+        return True
+    return path.partition('?')[0] in service['idempotent_paths']
+
+
+def read_target_path(call: Call) -> str:
+    """Return the path at the service with the query, as received."""
+    raw = call.scope.get('raw_path') or call.scope['path'].encode()
+    path = raw.decode('latin-1').partition('?')[0]
+    parts = path.split('/', _SERVICE_PARTS + 1)
+    checked = check_path(f'/{parts[-1]}')
+    query = call.scope['query_string'].decode('latin-1')
+    if not query:
+        return checked
+    if not query.isascii() or not query.isprintable() or '#' in query:
+        raise InvalidPathError('query holds an unprintable character')
+    return f'{checked}?{query}'
+
+
+def filter_headers(
+    pairs: Iterable[tuple[str, str]],
+    dropped: frozenset[str],
+) -> Mapping[str, str]:
+    """Return the headers that pass a hop; a repeated one is joined."""
+    kept: dict[str, str] = {}
+    for name, text in pairs:
+        lowered = name.lower()
+        if lowered in dropped:
+            continue
+        earlier = kept.get(lowered)
+        kept[lowered] = text if earlier is None else f'{earlier}, {text}'
+    return kept
+
+
+def restore_answer(recorded: RecordedAnswer) -> ServiceAnswer:
+    """Return an answer that a claim recorded."""
+    return ServiceAnswer(
+        recorded['status'],
+        tuple((name, text) for name, text in recorded['headers']),
+        base64.b64decode(recorded['body']),
+        Verdict(recorded['verdict']),
+    )
+
+
+async def send_answer(call: Call, answer: ServiceAnswer) -> None:
+    """Send the answer of a service to the caller."""
+    headers = filter_headers(answer.headers, _HOP_HEADERS)
+    await call.reply.send_whole(
+        answer.status,
+        answer.body,
+        answer.verdict,
+        list(headers.items()),
+    )
--- /dev/null
+++ b/cassiarail/security/tls.py
@@ -0,0 +1,51 @@
+"""Build TLS contexts from settings."""
+
+import ssl
+from typing import NamedTuple
+
+from cassiarail.core.exceptions import SettingsError
+
+
+class TlsFiles(NamedTuple):
+    """Name the PEM files of a listener or a client.
+
+    With ``authority_file`` the other side must present a certificate that
+    this authority signed.
+    """
+
+    certificate_file: str
+    key_file: str
+    authority_file: str | None = None
+
+
+def create_client_context(files: TlsFiles) -> ssl.SSLContext:
+    """Return the context for connections to targets or peers.
+
+    Raises ``SettingsError`` if a file is missing or invalid.
+    """
+    context = ssl.create_default_context(cafile=files.authority_file)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    return _load_chain(context, files)
+
+
+def create_server_context(files: TlsFiles) -> ssl.SSLContext:
+    """Return the context of a listener.
+
+    Raises ``SettingsError`` if a file is missing or invalid.
+    """
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    if files.authority_file is not None:
+        context.load_verify_locations(files.authority_file)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return _load_chain(context, files)
+
+
+def _load_chain(context: ssl.SSLContext, files: TlsFiles) -> ssl.SSLContext:
+    try:
+        context.load_cert_chain(files.certificate_file, files.key_file)
+    except OSError as error:
+        raise SettingsError(
+            f'cannot load {files.certificate_file}: {error}',
+        ) from error
+    return context
--- /dev/null
+++ b/cassiarail/store/claims.py
@@ -0,0 +1,380 @@
+"""Claim non-idempotent calls, so that each runs at most once.
+
+A claim is created with a unique token before a byte of the call leaves. A
+lost answer of the store is resolved by reading the token back; a claim that
+stays unknown is never used, and its token is voided so that the caller can
+send the call again.
+"""
+
+import base64
+import datetime as dt
+import enum
+import functools
+import random
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, NotRequired
+
+import anyio
+import msgspec
+from typing_extensions import TypedDict
+
+from cassiarail.core.backoff import Backoff
+from cassiarail.core.clock import Clock
+from cassiarail.core.exceptions import (
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+    VersionConflictError,
+)
+from cassiarail.store.backends.base import ObjectStore, StoredObject
+from cassiarail.store.claim_errors import (
+    ClaimUnavailableError,
+    IdempotencyKeyReusedError,
+    IdempotencyKeyTimeError,
+    InvalidIdempotencyKeyError,
+    OutcomeNotKeptError,
+    UnresolvedClaimError,
+)
+
+CLAIM_KIND = 'claim'
+RETENTION = dt.timedelta(hours=24)
+FUTURE_TOLERANCE = dt.timedelta(minutes=5)
+# Answers above this size are not recorded; the object API takes 1 MB.
+OUTCOME_LIMIT_BYTES = 65_536
+_RETRY_AFTER_S = 2
+_ROUNDS = 4
+_UUID_VERSION = 7
+_UUID_TIMESTAMP_SHIFT = 80
+_TOKEN_BITS = 128
+
+
+class ClaimState(enum.Enum):
+    """Name the states of a claim."""
+
+    SENT = 'sent'
+    VOID = 'void'
+    DONE = 'done'
+    UNCERTAIN = 'uncertain'
+
+
+class RecordedAnswer(TypedDict):
+    """Hold the answer of a call that ran; ``body`` is base64."""
+
+    status: int
+    headers: list[list[str]]
+    body: str
+    verdict: str
+
+
+class ClaimDocument(TypedDict):
+    """Hold a claim as the object API keeps it."""
+
+    token: str
+    body_digest: str
+    gateway: str
+    state: str
+    outcome: NotRequired[RecordedAnswer]
+
+
+class ClaimRequest(NamedTuple):
+    """Identify a call; ``key`` is a checked idempotency key."""
+
+    caller: str
+    key: uuid.UUID
+    body_digest: str
+
+    @property
+    def object_name(self) -> str:
+        """Return the name of the claim object."""
+        return f'{self.caller}.{self.key}'
+
+
+class Claim(NamedTuple):
+    """Hold a claim that this gateway owns, at a known version."""
+
+    name: str
+    version: int
+    document: ClaimDocument
+
+
+Submit = Callable[[Callable[[], Awaitable[None]]], None]
+
+
+def parse_idempotency_key(header: str | None, now: dt.datetime) -> uuid.UUID:
+    """Return a checked key.
+
+    Raises ``InvalidIdempotencyKeyError`` unless it is a UUID version 7 in its
+    canonical form, and ``IdempotencyKeyTimeError`` if its timestamp is older
+    than the retention of claims or too far in the future.
+    """
+    text = (header or '').strip()
+    try:
+        key = uuid.UUID(text)
+    except ValueError as error:
+        raise InvalidIdempotencyKeyError('key is not a UUID') from error
+    if str(key) != text.lower() or key.version != _UUID_VERSION:
+        raise InvalidIdempotencyKeyError('key is not a UUID version 7')
+    age = now - read_key_time(key)
+    if not -FUTURE_TOLERANCE <= age <= RETENTION:
+        raise IdempotencyKeyTimeError('key is too old or in the future')
+    return key
+
+
+def read_key_time(key: uuid.UUID) -> dt.datetime:
+    """Return the time that a UUID version 7 carries.
+
+    A time beyond the range of the calendar is returned as its end.
+    """
+    milliseconds = key.int >> _UUID_TIMESTAMP_SHIFT
+    try:
+        return dt.datetime.fromtimestamp(milliseconds / 1000, dt.UTC)
+    except (OverflowError, ValueError, OSError):
+        return dt.datetime.max.replace(tzinfo=dt.UTC)
+
+
+def record_answer(
+    status: int,
+    headers: list[list[str]],
+    body: bytes,
+    verdict: str,
+) -> RecordedAnswer | None:
+    """Return an answer as a claim keeps it, or ``None`` if it is too large."""
+    answer = RecordedAnswer(
+        status=status,
+        headers=headers,
+        body=base64.b64encode(body).decode(),
+        verdict=verdict,
+    )
+    size = len(body) + len(msgspec.json.encode(headers))
+    return answer if size <= OUTCOME_LIMIT_BYTES else None
+
+
+class ClaimBook:
+    """Create and close the claims of one gateway."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        gateway: str,
+        clock: Clock,
+        generator: random.Random,
+        submit: Submit,
+        timeout_s: float = 2,
+    ) -> None:
+        """Bound each claim by ``timeout_s`` seconds.
+
+        ``submit`` runs work in the background while the gateway runs.
+        """
+        self._store = store
+        self._gateway = gateway
+        self._clock = clock
+        self._generator = generator
+        self._submit = submit
+        self._timeout_s = timeout_s
+        self._backoff = Backoff()
+
+    async def claim(self, request: ClaimRequest) -> Claim | RecordedAnswer:
+        """Return a claim to run the call under, or its recorded answer.
+
+        Raises ``ClaimUnavailableError`` where the store can't confirm the
+        claim, ``UnresolvedClaimError``, ``OutcomeNotKeptError`` or
+        ``IdempotencyKeyReusedError``.
+        """
+        document = ClaimDocument(
+            token=f'{self._generator.getrandbits(_TOKEN_BITS):032x}',
+            body_digest=request.body_digest,
+            gateway=self._gateway,
+            state=ClaimState.SENT.value,
+        )
+        attempt = _ClaimAttempt(self._store, request.object_name, document)
+        resolved = None
+        try:
+            with anyio.move_on_after(self._timeout_s):
+                resolved = await attempt.resolve()
+        except StoreError as error:
+            raise _unavailable(str(error)) from error
+        finally:
+            if attempt.is_unknown:
+                self._submit(functools.partial(self._retry, attempt.void))
+        if resolved is None:
+            raise _unavailable('the store did not answer in time')
+        return resolved
+
+    def close(
+        self,
+        claim: Claim,
+        state: ClaimState,
+        outcome: RecordedAnswer | None = None,
+    ) -> None:
+        """Record how a call ended; retried in the background."""
+        document = ClaimDocument(**claim.document)
+        document['state'] = state.value
+        if outcome is not None:
+            document['outcome'] = outcome
+
+        step = functools.partial(self._replace_own, claim, document)
+        self._submit(functools.partial(self._retry, step))
+
+    async def void(self, claim: Claim) -> None:
+        """Free the key of a call that certainly did not run.
+
+        One write is tried at once, so that a caller who sends the call again
+        right after the refusal finds the key free.
+        """
+        document = ClaimDocument(**claim.document)
+        document['state'] = ClaimState.VOID.value
+        try:
+            with anyio.fail_after(self._timeout_s):
+                await self._replace_own(claim, document)
+        except (StoreError, TimeoutError):
+            self.close(claim, ClaimState.VOID)
+
+    async def _replace_own(
+        self,
+        claim: Claim,
+        document: ClaimDocument,
+    ) -> None:
+        """Replace a claim; nobody else writes one that holds our token."""
+        try:
+            await self._store.replace(
+                CLAIM_KIND,
+                claim.name,
+                document,
+                claim.version,
+            )
+        except VersionConflictError:
+            # An earlier write of the same document took effect and its answer
+            # was lost.
+            return
+
+    async def _retry(self, step: Callable[[], Awaitable[None]]) -> None:
+        attempt = 0
+        while True:
+            try:
+                with anyio.fail_after(self._timeout_s):
+                    return await step()
+            except (StoreError, TimeoutError):
+                await self._clock.sleep(
+                    self._backoff.delay(attempt, self._generator),
+                )
+            attempt += 1
+
+
+class _ClaimAttempt:
+    """Try to put one token into a claim object."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        name: str,
+        document: ClaimDocument,
+    ) -> None:
+        self._store = store
+        self._name = name
+        self._document = document
+        # Version that an unresolved write replaces; zero for a creation.
+        self._base = 0
+        self.is_unknown = False
+
+    async def resolve(self) -> Claim | RecordedAnswer:
+        """Create or take over the claim, reading back lost answers."""
+        existing: StoredObject | None = None
+        for _ in range(_ROUNDS):
+            try:
+                return await self._write(existing)
+            except (VersionConflictError, StoreOutcomeUnknownError):
+                existing = await self._store.read(CLAIM_KIND, self._name)
+            if existing is None:
+                continue
+            if self._owns(existing):
+                self.is_unknown = False
+                return Claim(self._name, existing.version, self._document)
+            if existing.version != self._base:
+                # The condition of an unresolved write can't hold any more.
+                self.is_unknown = False
+            answer = self._judge(existing.document)
+            if answer is not None:
+                return answer
+        raise StoreOutcomeUnknownError('the claim could not be resolved')
+
+    async def void(self) -> None:
+        """Make sure that an unresolved write of the token has no effect.
+
+        Beyond an object that holds the token, the state that a delayed write
+        would find is changed as well, so that its condition fails.
+        """
+        void = ClaimDocument(**self._document)
+        void['state'] = ClaimState.VOID.value
+        existing = await self._store.read(CLAIM_KIND, self._name)
+        if existing is None and not self._base:
+            await self._store.create(CLAIM_KIND, self._name, void)
+        elif existing is not None and self._needs_void(existing):
+            await self._store.replace(
+                CLAIM_KIND,
+                self._name,
+                void,
+                existing.version,
+            )
+
+    def _needs_void(self, existing: StoredObject) -> bool:
+        found: ClaimDocument = existing.document
+        if self._owns(existing):
+            return found['state'] == ClaimState.SENT.value
+        return existing.version == self._base
+
+    def _owns(self, existing: StoredObject) -> bool:
+        found: ClaimDocument = existing.document
+        return found['token'] == self._document['token']
+
+    async def _write(self, existing: StoredObject | None) -> Claim:
+        earlier_unknown = self.is_unknown
+        # Set before the write, so that a cancellation leaves it set.
+        self.is_unknown = True
+        self._base = 0 if existing is None else existing.version
+        try:
+            version = await self._put(existing)
+        except StoreUnavailableError:
+            self.is_unknown = earlier_unknown
+            raise
+        self.is_unknown = False
+        return Claim(self._name, version, self._document)
+
+    async def _put(self, existing: StoredObject | None) -> int:
+        if existing is None:
+            return await self._store.create(
+                CLAIM_KIND,
+                self._name,
+                self._document,
+            )
+        return await self._store.replace(
+            CLAIM_KIND,
+            self._name,
+            self._document,
+            existing.version,
+        )
+
+    def _judge(self, found: ClaimDocument) -> RecordedAnswer | None:
+        """Return a recorded answer, or ``None`` if the key is free."""
+        if found['body_digest'] != self._document['body_digest']:
+            raise IdempotencyKeyReusedError(
+                'the key was sent before with another request',
+            )
+        state = ClaimState(found['state'])
+        if state is ClaimState.VOID:
+            return None
+        if state is not ClaimState.DONE:
+            raise UnresolvedClaimError(
+                f'an earlier call with this key is {state.value}',
+            )
+        outcome = found.get('outcome')
+        if outcome is None:
+            raise OutcomeNotKeptError('the call ran; its answer was not kept')
+        return outcome
+
+
+def _unavailable(reason: str) -> ClaimUnavailableError:
+    return ClaimUnavailableError(
+        f'the call was not sent: {reason}',
+        retry_after_s=_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/tests/gateway/fakes.py
@@ -0,0 +1,206 @@
+"""Give small targets and a store that fail on request."""
+
+import json
+
+import anyio
+
+from cassiarail.core.exceptions import (
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+    VersionConflictError,
+)
+from cassiarail.store.backends.base import ObjectStore, StoredObject
+
+WORDS = ('Die ', 'Ernte ', 'war ', 'gut ', 'in ', 'Riburg', '.')
+
+
+class FakeEngine:
+    """Answer with the same words, one per second.
+
+    ``faults`` holds for each connection in turn what happens after which
+    token: ``(1, 'break')``, ``(1, 'silent')``, ``(0, 'refuse')``,
+    ``(2, 'repeat')``, ``(1, 'gap')``, ``(1, 'error')`` or ``(1, 'early')``.
+    """
+
+    def __init__(self, name, faults=(), words=WORDS, keeps=True):
+        self.name = name
+        self.address = f'{name}.test:80'
+        self.faults = list(faults)
+        self.words = words
+        self.keeps = keeps
+        self.requests = []
+        self.cancelled = []
+        self.headers = []
+
+    async def __call__(self, scope, receive, send):
+        method = scope['method']
+        self.headers.append(dict(scope['headers']))
+        body = (await receive()).get('body', b'')
+        self.requests.append((method, scope['path'], body))
+        fault = self.faults.pop(0) if self.faults else (len(self.words), None)
+        if method == 'DELETE':
+            self.cancelled.append(scope['path'])
+            await _answer(send, 200, b'{}')
+        elif method == 'GET' and not self.keeps:
+            await _answer(send, 404, b'{}')
+        elif fault[1] == 'refuse':
+            error = b'{"error":{"code":"leaving"}}'
+            await _answer(send, 503, error, [(b'x-verdict', b'not-run')])
+        else:
+            start = _read_start(scope, body)
+            await self._stream(send, start, fault)
+
+    async def _stream(self, send, start, fault):
+        headers = [(b'content-type', b'text/event-stream')]
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': headers},
+        )
+        for index in range(start, len(self.words)):
+            if index - start == fault[0]:
+                await self._fail(send, index, fault[1])
+                if fault[1] not in {'repeat', 'gap'}:
+                    return
+            await self._send_token(send, index)
+            await anyio.sleep(1)
+        await _send_block(send, b'data: [DONE]\n\n', more=False)
+
+    async def _fail(self, send, index, kind):
+        if kind == 'break':
+            raise ConnectionResetError
+        if kind == 'silent':
+            await anyio.sleep(10_000)
+        elif kind == 'repeat':
+            await self._send_token(send, index - 1)
+        elif kind == 'gap':
+            await self._send_token(send, index + 1)
+        elif kind == 'error':
+            await _send_block(send, b'event: error\ndata: {}\n\n', more=False)
+        elif kind == 'early':
+            await _send_block(send, b'data: [DONE]\n\n', more=False)
+
+    async def _send_token(self, send, index):
+        last = index == len(self.words) - 1
+        choice = {
+            'index': 0,
+            'delta': {'content': self.words[index]},
+            'finish_reason': 'stop' if last else None,
+        }
+        document = json.dumps({'id': 'x', 'model': 'salz', 'choices': [choice]})
+        event = f'id: {index}\ndata: {document}\n\n'.encode()
+        # Cut in the middle, as TCP may.
+        await _send_block(send, event[:9])
+        await _send_block(send, event[9:])
+
+
+class FakeRegister:
+    """Record filings; fail before or after recording on request."""
+
+    def __init__(self, name, faults=()):
+        self.name = name
+        self.address = f'{name}.test:80'
+        self.faults = list(faults)
+        self.ran = []
+        self.headers = []
+
+    async def __call__(self, scope, receive, send):
+        self.headers.append(dict(scope['headers']))
+        body = (await receive()).get('body', b'')
+        fault = self.faults.pop(0) if self.faults else ''
+        if fault == 'refuse':
+            error = b'{"error":{"code":"overloaded"}}'
+            await _answer(send, 503, error, [(b'x-verdict', b'not-run')])
+            return
+        if fault == 'break-before':
+            raise ConnectionResetError
+        self.ran.append((scope['method'], scope['path'], body))
+        if fault == 'break-after':
+            raise ConnectionResetError
+        if fault == 'hang':
+            await anyio.sleep(10_000)
+        status = 503 if fault == 'fail' else 201
+        await _answer(send, status, b'{"filed":true}')
+
+
+class FakeStore(ObjectStore):
+    """Keep objects in memory; lose answers and go out on request.
+
+    ``faults`` holds for each call in turn: ``''``, ``'out'``, ``'lost'``
+    (the write took effect) or ``'lost-before'`` (it did not).
+    """
+
+    def __init__(self, faults=()):
+        self.kept = {}
+        self.faults = list(faults)
+        self.is_out = False
+        self.calls = 0
+        self._version = 0
+
+    def _next_fault(self):
+        self.calls += 1
+        fault = self.faults.pop(0) if self.faults else ''
+        if self.is_out or fault == 'out':
+            raise StoreUnavailableError('out')
+        if fault == 'lost-before':
+            raise StoreOutcomeUnknownError('lost')
+        return fault
+
+    async def read(self, kind, name):
+        await anyio.lowlevel.checkpoint()
+        if self._next_fault():
+            raise StoreUnavailableError('out')
+        return self.kept.get((kind, name))
+
+    async def create(self, kind, name, document):
+        await anyio.lowlevel.checkpoint()
+        fault = self._next_fault()
+        if (kind, name) in self.kept:
+            raise VersionConflictError('exists')
+        return self._put(kind, name, document, fault)
+
+    async def replace(self, kind, name, document, version):
+        await anyio.lowlevel.checkpoint()
+        fault = self._next_fault()
+        found = self.kept.get((kind, name))
+        if found is None or found.version != version:
+            raise VersionConflictError('changed')
+        return self._put(kind, name, document, fault)
+
+    def _put(self, kind, name, document, fault):
+        self._version += 1
+        stored = StoredObject(kind, name, self._version, dict(document))
+        self.kept[(kind, name)] = stored
+        if fault == 'lost':
+            raise StoreOutcomeUnknownError('lost')
+        return self._version
+
+    async def list_objects(self, kind, prefix=''):
+        raise NotImplementedError
+
+    async def delete(self, kind, name, version):
+        raise NotImplementedError
+
+    async def watch(self, kind, after, timeout_s, prefix=''):
+        raise NotImplementedError
+
+
+def _read_start(scope, body):
+    if scope['method'] == 'GET':
+        return int(scope['query_string'].split(b'=')[1])
+    return json.loads(body).get('resume_after', 0)
+
+
+async def _answer(send, status, body, headers=()):
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': [(b'content-type', b'application/json'), *headers],
+        },
+    )
+    await _send_block(send, body, more=False)
+
+
+async def _send_block(send, block, more=True):
+    await send(
+        {'type': 'http.response.body', 'body': block, 'more_body': more},
+    )
--- /dev/null
+++ b/tests/gateway/test_streams.py
@@ -0,0 +1,169 @@
+"""Guard streams against gaps, repeats and false ends."""
+
+import json
+
+import anyio
+import pytest
+
+from tests.gateway.fakes import WORDS, FakeEngine
+from tests.gateway.world import chat, read_tokens, run_world
+
+WHOLE = (list(range(len(WORDS))), ''.join(WORDS), True)
+
+
+def test_relays_a_stream_and_a_whole_answer():
+    async def scenario(world, client):
+        engine = world.add(FakeEngine('e1'))
+        answer = await client.post('/v1/chat/completions', json=chat(True))
+        assert read_tokens(answer.text) == WHOLE
+        assert answer.headers['x-verdict'] == 'ran'
+        answer = await client.post('/v1/chat/completions', json=chat())
+        choice = answer.json()['choices'][0]
+        assert choice['message']['content'] == ''.join(WORDS)
+        assert choice['finish_reason'] == 'stop'
+        assert answer.json()['usage']['completion_tokens'] == len(WORDS)
+        # Both used one connection, which was returned after [DONE].
+        assert len(engine.requests) == 2
+        assert len(world.transports) == 1
+
+    run_world(scenario)
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [
+        [(3, 'break')],
+        [(0, 'break'), (2, 'break')],
+        [(3, 'silent')],
+        [(3, 'repeat')],
+        [(3, 'gap')],
+        [(2, 'break'), (1, 'silent'), (1, 'gap')],
+    ],
+)
+def test_resumes_on_the_same_target(faults):
+    """A broken or silent connection must cost no token and repeat none."""
+
+    async def scenario(world, client):
+        engine = world.add(FakeEngine('e1', faults))
+        answer = await client.post('/v1/chat/completions', json=chat(True))
+        assert read_tokens(answer.text) == WHOLE
+        starts = [
+            path for method, path, _ in engine.requests if method == 'POST'
+        ]
+        assert len(starts) == 1
+
+    run_world(scenario)
+
+
+@pytest.mark.parametrize('kind', ['break', 'error', 'early', 'silent'])
+def test_resumes_on_another_target(kind):
+    async def scenario(world, client):
+        world.add(FakeEngine('e1', [(3, kind)], keeps=False))
+        second = world.add(FakeEngine('e2'))
+        answer = await client.post('/v1/chat/completions', json=chat(True))
+        assert read_tokens(answer.text) == WHOLE
+        body = json.loads(second.requests[0][2])
+        assert body['resume_after'] == 3
+        assert body['generated'] == ''.join(WORDS[:3])
+
+    run_world(scenario)
+
+
+def test_replaces_the_connections_of_a_silent_target():
+    """Other pooled connections of a silent target must not be used again."""
+
+    async def scenario(world, client):
+        world.add(FakeEngine('e1'))
+        await client.post('/v1/chat/completions', json=chat())
+        world.network.silence('e1.test:80')
+        answer = await client.post('/v1/chat/completions', json=chat(True))
+        assert read_tokens(answer.text) == WHOLE
+        assert len(world.transports) == 2
+
+    run_world(scenario)
+
+
+@pytest.mark.parametrize('stream', [True, False])
+def test_never_ends_an_incomplete_stream_as_complete(stream):
+    """A caller must not take part of an answer for the whole."""
+
+    async def scenario(world, client):
+        faults = [(1, 'break'), *[(0, 'break')] * 200]
+        world.add(FakeEngine('e1', faults))
+        answer = await client.post('/v1/chat/completions', json=chat(stream))
+        if stream:
+            assert '[DONE]' not in answer.text
+            assert 'event: error' in answer.text
+            error = json.loads(answer.text.rsplit('data:', 1)[1])['error']
+        else:
+            assert answer.status_code == 502
+            error = answer.json()['error']
+        assert error['verdict'] == 'may-have-run'
+
+    run_world(scenario)
+
+
+def test_a_lost_end_mark_does_not_lose_a_complete_answer():
+    async def scenario(world, client):
+        world.add(FakeEngine('e1', [(7, None)]))
+        world.network.listen('e1.test:80', _without_done)
+        answer = await client.post('/v1/chat/completions', json=chat(True))
+        assert read_tokens(answer.text) == ([0], 'ja', True)
+
+    run_world(scenario)
+
+
+async def _without_done(scope, receive, send):
+    await send({'type': 'http.response.start', 'status': 200, 'headers': []})
+    choice = b'{"delta":{"content":"ja"},"finish_reason":"stop"}'
+    event = b'id: 0\ndata: {"choices":[%b]}\n\n' % choice
+    await send({'type': 'http.response.body', 'body': event})
+
+
+def test_a_caller_that_leaves_cancels_the_engine():
+    """An abandoned stream must not keep a place in the engine's batch."""
+
+    async def scenario(world, client):
+        engine = world.add(FakeEngine('e1'))
+        request = client.stream('POST', '/v1/chat/completions', json=chat(True))
+        async with request as answer:
+            request_id = answer.headers['x-request-id']
+            await anext(answer.aiter_raw())
+        await anyio.sleep(5)
+        assert engine.cancelled == [f'/v1/streams/{request_id}']
+        assert world.gateway.requests.count == 0
+
+    run_world(scenario)
+
+
+def test_only_the_own_caller_cancels():
+    """Another caller's cancellation must look like an unknown request."""
+
+    async def scenario(world, client):
+        engine = world.add(FakeEngine('e1'))
+        request = client.stream('POST', '/v1/chat/completions', json=chat(True))
+        async with request as answer, world.client('clerk') as other:
+            path = f'/v1/requests/{answer.headers["x-request-id"]}'
+            assert (await other.delete(path)).status_code == 404
+            assert (await client.delete(path)).status_code == 200
+            text = ''.join([part async for part in answer.aiter_text()])
+        assert '[DONE]' not in text
+        assert '"code":"cancelled"' in text
+        await anyio.sleep(5)
+        assert len(engine.cancelled) == 1
+
+    run_world(scenario)
+
+
+def test_hands_the_remaining_time_on_and_ends_at_the_deadline():
+    async def scenario(world, client):
+        engine = world.add(FakeEngine('e1'))
+        headers = {'x-timeout-ms': '2500'}
+        answer = await client.post(
+            '/v1/chat/completions', json=chat(), headers=headers
+        )
+        assert answer.status_code == 504
+        assert answer.headers['x-verdict'] == 'may-have-run'
+        assert int(engine.headers[0][b'x-timeout-ms']) <= 2500
+
+    run_world(scenario)
