--- /dev/null
+++ b/cassiarail/membership/digest.py
@@ -0,0 +1,257 @@
+"""Build the digest for a peer from what it hasn't acknowledged, and merge.
+
+Each node numbers the changes of its tables. A digest holds the entries that
+changed after the revision that the peer acknowledged, without those that the
+peer itself told of.
+"""
+
+import operator
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cassiarail.membership.fingerprints import FingerprintTable
+from cassiarail.membership.peers import MemberNews, Peer, PeerTable
+from cassiarail.membership.protos import peers_pb2 as pb
+from cassiarail.membership.revisions import Revisions
+from cassiarail.membership.targets import (
+    TargetChange,
+    TargetEntry,
+    TargetTable,
+)
+
+# Bounds one digest; the rest follows in the next exchange.
+MAX_ENTRIES = 400
+_TAG_MASK = 0x7F
+
+
+class Link:
+    """Hold what a peer and this node have of each other's tables."""
+
+    def __init__(self) -> None:
+        self.acknowledged = 0
+        self.seen_revision = 0
+        self.seen_incarnation = 0
+
+
+class _Change(NamedTuple):
+    """Hold one entry to send and how to add it to a digest."""
+
+    revision: int
+    append: Callable[[pb.Digest], None]
+
+
+class Digests:
+    """Build and merge the digests of one node."""
+
+    def __init__(
+        self,
+        revisions: Revisions,
+        peers: PeerTable,
+        targets: TargetTable,
+        fingerprints: FingerprintTable,
+    ) -> None:
+        """Take the tables that digests carry."""
+        self._revisions = revisions
+        self._peers = peers
+        self._targets = targets
+        self._fingerprints = fingerprints
+        self._links: dict[str, Link] = {}
+
+    def build(self, address: str) -> pb.Digest:
+        """Return the digest for a peer."""
+        own = self._peers.own
+        link = self._links.setdefault(address, Link())
+        digest = pb.Digest(
+            address=own.address,
+            incarnation=own.incarnation,
+            heartbeat=own.heartbeat,
+            generation=own.generation,
+            revision=self._revisions.latest,
+            acknowledged=link.seen_revision,
+            acknowledged_incarnation=link.seen_incarnation,
+        )
+        changes = self._list_changes(link.acknowledged, address)
+        if len(changes) > MAX_ENTRIES:
+            changes.sort(key=operator.itemgetter(0))
+            changes = changes[:MAX_ENTRIES]
+            digest.revision = changes[-1].revision
+        for change in changes:
+            change.append(digest)
+        return digest
+
+    def merge(self, digest: pb.Digest) -> bool:
+        """Merge the digest of a peer; tell whether to announce a target.
+
+        A heartbeat or load of something unknown means that an entry was
+        lost; the peer is then asked for its whole table.
+        """
+        source = digest.address
+        link = self._links.setdefault(source, Link())
+        own = self._peers.own
+        if digest.acknowledged_incarnation == own.incarnation:
+            link.acknowledged = digest.acknowledged
+        else:
+            link.acknowledged = 0
+        self._peers.hear_directly(_read_sender(digest))
+        complete = self._merge_members(digest, source)
+        changes = [
+            self._targets.merge_profile(profile, source)
+            for profile in digest.profiles
+        ]
+        complete &= self._targets.merge_loads(digest.loads, source)
+        for entry in digest.quarantine:
+            self._fingerprints.merge(entry, source)
+        link.seen_incarnation = digest.incarnation
+        link.seen_revision = digest.revision if complete else 0
+        return TargetChange.ANNOUNCE in changes
+
+    def forget(self, address: str) -> None:
+        """Drop what is known of a peer's tables."""
+        self._links.pop(address, None)
+
+    def _list_changes(self, after: int, address: str) -> list[_Change]:
+        changes: list[_Change] = []
+        for peer in self._peers.peers.values():
+            if peer.identity_revision > after and peer.address != address:
+                changes.append(_make_identity(peer))
+            elif peer.heartbeat_revision > after and peer.source != address:
+                changes.append(_make_heartbeat(peer))
+        for entry in self._targets.entries.values():
+            changes.extend(self._list_target_changes(entry, after, address))
+        for revision, name in self._fingerprints.list_changed(after, address):
+            changes.append(
+                _Change(revision, _AppendFingerprint(self._fingerprints, name)),
+            )
+        return changes
+
+    def _list_target_changes(
+        self,
+        entry: TargetEntry,
+        after: int,
+        address: str,
+    ) -> list[_Change]:
+        changes = []
+        if entry.profile_revision > after and entry.profile_source != address:
+            changes.append(
+                _Change(entry.profile_revision, _AppendProfile(entry)),
+            )
+        if entry.load_revision > after and entry.load_source != address:
+            changes.append(
+                _Change(
+                    entry.load_revision,
+                    _AppendLoad(self._targets, entry),
+                ),
+            )
+        return changes
+
+    def _merge_members(self, digest: pb.Digest, source: str) -> bool:
+        for member in digest.members:
+            if member.left:
+                self._peers.leave(member.address, member.incarnation)
+            else:
+                self._peers.observe(read_member(member), source)
+        columns = digest.heartbeats
+        rows = zip(
+            columns.members,
+            columns.heartbeats,
+            columns.tags,
+            columns.generations,
+            strict=False,
+        )
+        complete = True
+        for key, heartbeat, tag, generation in rows:
+            peer = self._peers.by_key.get(key)
+            if peer is None:
+                complete = False
+            elif peer.incarnation & _TAG_MASK == tag:
+                news = MemberNews(
+                    peer.address,
+                    peer.incarnation,
+                    heartbeat,
+                    generation,
+                )
+                self._peers.observe(news, source)
+        return complete
+
+
+def read_member(member: pb.Member) -> MemberNews:
+    """Return the news that a member message tells."""
+    return MemberNews(
+        member.address,
+        member.incarnation,
+        member.heartbeat,
+        member.generation,
+    )
+
+
+def write_member(peer: Peer) -> pb.Member:
+    """Return the message of a member."""
+    return pb.Member(
+        address=peer.address,
+        incarnation=peer.incarnation,
+        heartbeat=peer.heartbeat,
+        generation=peer.generation,
+    )
+
+
+def _read_sender(digest: pb.Digest) -> MemberNews:
+    return MemberNews(
+        digest.address,
+        digest.incarnation,
+        digest.heartbeat,
+        digest.generation,
+    )
+
+
+def _make_identity(peer: Peer) -> _Change:
+    return _Change(peer.identity_revision, _AppendMember(peer))
+
+
+def _make_heartbeat(peer: Peer) -> _Change:
+    return _Change(peer.heartbeat_revision, _AppendHeartbeat(peer))
+
+
+class _AppendMember:
+    def __init__(self, peer: Peer) -> None:
+        self._peer = peer
+
+    def __call__(self, digest: pb.Digest) -> None:
+        digest.members.append(write_member(self._peer))
+
+
+class _AppendHeartbeat:
+    def __init__(self, peer: Peer) -> None:
+        self._peer = peer
+
+    def __call__(self, digest: pb.Digest) -> None:
+        columns = digest.heartbeats
+        columns.members.append(self._peer.key)
+        columns.heartbeats.append(self._peer.heartbeat)
+        columns.tags.append(self._peer.incarnation & _TAG_MASK)
+        columns.generations.append(self._peer.generation)
+
+
+class _AppendProfile:
+    def __init__(self, entry: TargetEntry) -> None:
+        self._entry = entry
+
+    def __call__(self, digest: pb.Digest) -> None:
+        digest.profiles.append(self._entry.profile)
+
+
+class _AppendLoad:
+    def __init__(self, targets: TargetTable, entry: TargetEntry) -> None:
+        self._targets = targets
+        self._entry = entry
+
+    def __call__(self, digest: pb.Digest) -> None:
+        self._targets.append_load(digest.loads, self._entry)
+
+
+class _AppendFingerprint:
+    def __init__(self, fingerprints: FingerprintTable, name: str) -> None:
+        self._fingerprints = fingerprints
+        self._name = name
+
+    def __call__(self, digest: pb.Digest) -> None:
+        digest.quarantine.append(self._fingerprints.encode(self._name))
