Assemble the controller process and cassiarail-ctl

Cause: placement, membership, configuration and ledger existed as parts; no process joined them, and operators had no command.

With no demand all models went to the first target of a data centre; ties now go to the target with the most free memory.

--- /dev/null
+++ b/cassiarail/commands/controller.py
@@ -0,0 +1,112 @@
+"""Define the program ``cassiarail-controller``."""
+
+import pathlib
+import random
+from typing import Annotated
+
+import typer
+
+from cassiarail.commands.options import VersionOption, load_or_exit
+from cassiarail.conf.loader import read_secret
+from cassiarail.conf.schema import ControllerSettings
+from cassiarail.controller.process import ControllerLinks, ControllerProcess
+from cassiarail.core.clock import Clock, LoopClock
+from cassiarail.core.lifecycle import Application, Component
+from cassiarail.core.loops import run_real
+from cassiarail.membership.backends.codec import SignedCodec
+from cassiarail.membership.backends.grpc import (
+    GrpcPeerServer,
+    GrpcPeerTransport,
+)
+from cassiarail.store.backends.http import HttpObjectStore
+from cassiarail.telemetry.listener import HttpListener
+from cassiarail.telemetry.logs import configure_logs
+from cassiarail.telemetry.metrics import create_registry
+
+program = typer.Typer(add_completion=False)
+
+
+class PeerListener(Component):
+    """Serve peers and gateways over gRPC."""
+
+    name = 'peers'
+
+    def __init__(self, server: GrpcPeerServer, address: str) -> None:
+        self._server = server
+        host, _, port = address.rpartition(':')
+        self._host = host
+        self._port = int(port)
+
+    async def start(self) -> None:
+        """Listen on the peers' address."""
+        await self._server.start(self._host, self._port)
+
+    async def run(self) -> None:
+        """Leave the work to the server's own tasks."""
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        await self._server.stop()
+
+
+def build_process(
+    settings: ControllerSettings,
+    secret: bytes,
+    clock: Clock,
+    generator: random.Random,
+) -> ControllerProcess:
+    """Return a controller that talks over TCP."""
+    links = ControllerLinks(
+        store=HttpObjectStore(settings['object_api']),
+        peers=GrpcPeerTransport(SignedCodec(secret, clock)),
+        create_transport=lambda: None,
+    )
+    return ControllerProcess(
+        settings,
+        links,
+        clock,
+        generator,
+        create_registry(),
+    )
+
+
+async def run_controller(settings: ControllerSettings, secret: bytes) -> None:
+    """Run a controller until it is told to stop."""
+    clock = LoopClock()
+    process = build_process(settings, secret, clock, random.Random())
+    server = GrpcPeerServer(
+        SignedCodec(secret, clock),
+        process.node,
+        process.feed,
+    )
+    listener = PeerListener(server, settings['peers_listener']['address'])
+    operators = HttpListener(
+        'operators',
+        settings['operators'],
+        process.build_operators(lambda: application.is_ready()),
+    )
+    application = Application(
+        'controller',
+        [listener, *process.components, operators],
+        clock,
+    )
+    try:
+        await application.run(handle_signals=True)
+    finally:
+        await process.aclose()
+
+
+@program.command()
+def serve(
+    settings: Annotated[pathlib.Path, typer.Argument(help='JSON settings')],
+    version: VersionOption = False,
+) -> None:
+    """Place models, keep the configuration and know the peers."""
+    document, secret = load_or_exit(settings, ControllerSettings, read_secret)
+    configure_logs(document.get('telemetry', {}).get('log_level', 'info'))
+    run_real(run_controller, document, secret)
+
+
+def main() -> None:
+    """Run the program."""
+    program()
--- /dev/null
+++ b/cassiarail/commands/ctl.py
@@ -0,0 +1,394 @@
+"""Define the program ``cassiarail-ctl``."""
+
+import getpass
+import pathlib
+import random
+import secrets
+import uuid
+from collections.abc import Callable, Mapping, Sequence
+from typing import Annotated, Any
+
+import anyio
+import httpx
+import msgspec
+import typer
+
+from cassiarail.commands.options import (
+    EXIT_FAILED,
+    EXIT_REJECTED,
+    VersionOption,
+)
+from cassiarail.conf.loader import RejectedSettingsError, load_settings
+from cassiarail.conf.schema import OperatorSettings, PeerSettings
+from cassiarail.control.configuration import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    ConfigurationConflictError,
+    apply_configuration,
+)
+from cassiarail.controller.explain import explain_model, explain_placement
+from cassiarail.core.clock import LoopClock
+from cassiarail.core.exceptions import CassiarailError
+from cassiarail.declarations.differences import (
+    Impact,
+    compare_declarations,
+)
+from cassiarail.declarations.loader import (
+    RejectedDeclarationsError,
+    load_folder,
+)
+from cassiarail.declarations.schema import (
+    ConfigurationDocument,
+    DeclarationsDocument,
+)
+from cassiarail.security.keys import digest_key
+from cassiarail.store.backends.http import HttpObjectStore
+
+program = typer.Typer(add_completion=False, no_args_is_help=True)
+_KEY_BYTES = 24
+_FORCE_BOUND_S = 3.0
+_POLL_S = 0.1
+_STATUS_TIMEOUT_S = 1.0
+_Status = dict[str, Any]
+
+Folder = Annotated[
+    pathlib.Path,
+    typer.Argument(help='Folder of declarations.'),
+]
+Settings = Annotated[
+    pathlib.Path,
+    typer.Option('--settings', help='JSON settings of operators.'),
+]
+AsJson = Annotated[bool, typer.Option('--json', help='Print JSON.')]
+
+
+@program.callback()
+def configure(version: VersionOption = False) -> None:
+    """Check, compare, apply and explain declarations."""
+
+
+@program.command()
+def check(folder: Folder, as_json: AsJson = False) -> None:
+    """Check declarations without any connection."""
+    declarations, warnings = _load_folder(folder, as_json=as_json)
+    summary = {
+        'models': len(declarations['models']),
+        'exceptions': len(declarations['exceptions']),
+        'warnings': [warning.format_line() for warning in warnings],
+    }
+    _print(summary, as_json=as_json)
+
+
+@program.command()
+def diff(folder: Folder, settings: Settings, as_json: AsJson = False) -> None:
+    """Show what applying declarations would change."""
+    declarations, _ = _load_folder(folder, as_json=as_json)
+    current = _run(_read_configuration, _load_settings(settings))
+    impact = compare_declarations(
+        current['declarations'] if current else None,
+        declarations,
+    )
+    _print(_describe_impact(current, impact), as_json=as_json)
+
+
+@program.command()
+def apply(
+    folder: Folder,
+    settings: Settings,
+    generation: Annotated[
+        int | None,
+        typer.Option(help='Generation that you reviewed with diff.'),
+    ] = None,
+    author: Annotated[str, typer.Option(help='Name for the record.')] = '',
+    as_json: AsJson = False,
+) -> None:
+    """Accept declarations and wait until they are in force everywhere."""
+    declarations, _ = _load_folder(folder, as_json=as_json)
+    accepted = _run(
+        _apply,
+        _load_settings(settings),
+        declarations,
+        generation,
+        author or getpass.getuser(),
+    )
+    _print(accepted, as_json=as_json)
+    if accepted['behind'] or accepted['unreachable']:
+        raise typer.Exit(EXIT_FAILED)
+
+
+@program.command()
+def explain(
+    model: Annotated[str, typer.Argument(help='Name of a model.')],
+    folder: Folder,
+    settings: Annotated[
+        pathlib.Path | None,
+        typer.Option('--settings', help='Adds where the model is now.'),
+    ] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Say where a model's values and its places come from."""
+    declarations, _ = _load_folder(folder, as_json=as_json)
+    if model not in {each['name'] for each in declarations['models']}:
+        typer.echo(f"there is no model '{model}'", err=True)
+        raise typer.Exit(EXIT_REJECTED)
+    explanation = explain_model(declarations, model)
+    if settings is not None:
+        statuses = _run(_read_statuses, _load_settings(settings))
+        explanation['placement'] = explain_placement(
+            model,
+            [each['placement'] for each in statuses.values()],
+        )
+    _print(explanation, as_json=as_json)
+
+
+@program.command()
+def status(settings: Settings, as_json: AsJson = False) -> None:
+    """Show nodes, targets, memory and the replicas of each model."""
+    document = _load_settings(settings)
+    statuses = _run(_read_statuses, document)
+    names = {peer['name'] for peer in document['controllers']}
+    overview = _summarise(statuses, sorted(names.difference(statuses)))
+    _print(overview, as_json=as_json)
+    if overview['unreachable']:
+        raise typer.Exit(EXIT_FAILED)
+
+
+@program.command()
+def lift(fingerprint: str, settings: Settings) -> None:
+    """Lift the quarantine of a request's fingerprint."""
+    document = _load_settings(settings)
+    _run(_lift_quarantine, document['controllers'], fingerprint)
+
+
+@program.command()
+def key() -> None:
+    """Make a caller's key and the digest to declare for it."""
+    text = secrets.token_urlsafe(_KEY_BYTES)
+    typer.echo(f'key: {text}')
+    typer.echo(f'digest: {digest_key(text)}')
+
+
+def _load_folder(
+    folder: pathlib.Path,
+    *,
+    as_json: bool,
+) -> tuple[DeclarationsDocument, Sequence[Any]]:
+    try:
+        return load_folder(folder)
+    except RejectedDeclarationsError as error:
+        lines = [problem.format_line() for problem in error.problems]
+        _print({'problems': lines}, as_json=as_json, err=not as_json)
+        raise typer.Exit(EXIT_REJECTED) from error
+
+
+def _load_settings(path: pathlib.Path) -> OperatorSettings:
+    try:
+        settings: OperatorSettings = load_settings(path, OperatorSettings)
+    except RejectedSettingsError as error:
+        typer.echo(error.message, err=True)
+        raise typer.Exit(EXIT_REJECTED) from error
+    return settings
+
+
+def _run(function: Callable[..., Any], *positional: Any) -> Any:
+    try:
+        return anyio.run(function, *positional)
+    except ConfigurationConflictError as error:
+        typer.echo(f'{error.error_id} {error.message}', err=True)
+        typer.echo(error.hint, err=True)
+        raise typer.Exit(EXIT_FAILED) from error
+    except CassiarailError as error:
+        typer.echo(f'{error.error_id} {error.message}', err=True)
+        raise typer.Exit(EXIT_FAILED) from error
+
+
+async def _read_configuration(
+    settings: OperatorSettings,
+) -> ConfigurationDocument | None:
+    store = HttpObjectStore(settings['object_api'])
+    try:
+        stored = await store.read(CONFIGURATION_KIND, CONFIGURATION_NAME)
+    finally:
+        await store.aclose()
+    return stored.document if stored else None
+
+
+async def _apply(
+    settings: OperatorSettings,
+    declarations: DeclarationsDocument,
+    seen_generation: int | None,
+    author: str,
+) -> _Status:
+    clock = LoopClock()
+    if seen_generation is None:
+        current = await _read_configuration(settings)
+        seen_generation = current['generation'] if current else 0
+    store = HttpObjectStore(settings['object_api'])
+    try:
+        generation = await apply_configuration(
+            store,
+            seen_generation,
+            declarations,
+            author,
+            uuid.uuid4().hex,
+            clock,
+            random.Random(),
+        )
+    finally:
+        await store.aclose()
+    return await _wait_for_force(settings, generation)
+
+
+async def _wait_for_force(
+    settings: OperatorSettings,
+    generation: int,
+) -> _Status:
+    """Return which controllers have a generation in force, and since when."""
+    began_at = anyio.current_time()
+    names = [peer['name'] for peer in settings['controllers']]
+    while True:
+        statuses = await _read_statuses(settings)
+        behind = [
+            name
+            for name, each in statuses.items()
+            if each['generation'] < generation
+        ]
+        unreachable = sorted(set(names).difference(statuses))
+        passed = anyio.current_time() - began_at
+        if (not behind and not unreachable) or passed > _FORCE_BOUND_S:
+            return {
+                'generation': generation,
+                'seconds': round(passed, 3),
+                'in_force': sorted(set(statuses).difference(behind)),
+                'behind': behind,
+                'unreachable': unreachable,
+            }
+        await anyio.sleep(_POLL_S)
+
+
+async def _read_statuses(settings: OperatorSettings) -> dict[str, _Status]:
+    statuses: dict[str, _Status] = {}
+    async with (
+        httpx.AsyncClient(timeout=_STATUS_TIMEOUT_S) as client,
+        anyio.create_task_group() as group,
+    ):
+        for peer in settings['controllers']:
+            group.start_soon(_read_status, client, peer, statuses)
+    return statuses
+
+
+async def _read_status(
+    client: httpx.AsyncClient,
+    peer: PeerSettings,
+    statuses: dict[str, _Status],
+) -> None:
+    try:
+        answer = await client.get(f'http://{peer["address"]}/v1/status')
+    except httpx.HTTPError:
+        return
+    if answer.status_code == httpx.codes.OK:
+        statuses[peer['name']] = msgspec.json.decode(answer.content)
+
+
+async def _lift_quarantine(
+    controllers: Sequence[PeerSettings],
+    fingerprint: str,
+) -> None:
+    async with httpx.AsyncClient(timeout=_STATUS_TIMEOUT_S) as client:
+        for peer in controllers:
+            url = f'http://{peer["address"]}/v1/quarantine/{fingerprint}'
+            try:
+                await client.delete(url)
+            except httpx.HTTPError:
+                typer.echo(f'{peer["name"]} is unreachable', err=True)
+
+
+def _describe_impact(
+    current: ConfigurationDocument | None,
+    impact: Impact,
+) -> _Status:
+    return {
+        'generation': current['generation'] if current else 0,
+        'differences': [
+            {'path': each.path, 'before': each.before, 'after': each.after}
+            for each in impact.differences
+        ],
+        'models': impact.models,
+        'targets': impact.targets,
+    }
+
+
+def _summarise(
+    statuses: Mapping[str, _Status],
+    unreachable: list[str],
+) -> _Status:
+    placements = [
+        each['placement'] for each in statuses.values() if each['placement']
+    ]
+    quarantined: set[str] = set()
+    for each in statuses.values():
+        quarantined.update(each['quarantined'])
+    replicas: dict[str, int] = {}
+    targets = {}
+    for placement in placements:
+        for target in placement['targets']:
+            targets[target['name']] = {
+                'memory_bytes': target['memory_bytes'],
+                'charged_bytes': target['charged_bytes'],
+                'reached': target['reached'],
+                'leaving': target['leaving'],
+            }
+            for text in target['live']:
+                replicas[text] = replicas.get(text, 0) + 1
+    return {
+        'generations': {
+            name: each['generation'] for name, each in statuses.items()
+        },
+        'leases': {
+            name: each['fence']
+            for name, each in statuses.items()
+            if each['holds_lease']
+        },
+        'targets': targets,
+        'replicas': dict(sorted(replicas.items())),
+        'quarantined': sorted(
+            {
+                name
+                for each in statuses.values()
+                for name in each['quarantined']
+            },
+        ),
+        'unreachable': unreachable,
+    }
+
+
+def _print(
+    document: Mapping[str, Any],
+    *,
+    as_json: bool,
+    err: bool = False,
+) -> None:
+    if as_json:
+        typer.echo(msgspec.json.encode(document).decode())
+        return
+    for line in _format_lines(document, ''):
+        typer.echo(line, err=err)
+
+
+def _format_lines(document: Mapping[str, Any], indent: str) -> list[str]:
+    lines = []
+    for name, entry in document.items():
+        if isinstance(entry, dict):
+            lines.append(f'{indent}{name}:')
+            lines.extend(_format_lines(entry, f'{indent}  '))
+        elif isinstance(entry, list):
+            lines.append(f'{indent}{name}: {len(entry)}')
+            lines.extend(f'{indent}  - {each}' for each in entry)
+        else:
+            lines.append(f'{indent}{name}: {entry}')
+    return lines
+
+
+def main() -> None:
+    """Run the program."""
+    program()
--- /dev/null
+++ b/cassiarail/controller/demand.py
@@ -0,0 +1,47 @@
+"""Turn gateways' reports into the demand that placement follows."""
+
+from collections.abc import Callable, Mapping
+
+from cassiarail.controller.situation import DemandSource, Forecast
+from cassiarail.core.clock import Clock
+from cassiarail.declarations.schema import DeclarationsDocument
+from cassiarail.membership.protos import peers_pb2 as pb
+from cassiarail.placement.demand import DemandTracker
+from cassiarail.placement.needs import CAPACITY_PER_ACCELERATOR
+
+DeclarationsSource = Callable[[], DeclarationsDocument | None]
+
+
+class ReportedDemand(DemandSource):
+    """Forecast demand from the reports that reach this controller."""
+
+    def __init__(self, declarations: DeclarationsSource, clock: Clock) -> None:
+        self._declarations = declarations
+        self._tracker = DemandTracker(clock)
+
+    def take_report(self, report: pb.GatewayReport) -> None:
+        """Replace the figures of one gateway."""
+        figures: dict[str, float] = {}
+        for row in report.demand:
+            figures[row.model] = figures.get(row.model, 0) + row.concurrent
+        self._tracker.report(report.gateway, figures)
+
+    def forecast(self) -> Mapping[str, Forecast]:
+        """Return the forecast of every declared model."""
+        self._tracker.update()
+        declarations = self._declarations()
+        models = declarations['models'] if declarations else []
+        return {
+            model['name']: Forecast(*self._tracker.forecast(model['name']))
+            for model in models
+        }
+
+    def read_capacity(self, target: str) -> float:
+        """Return the concurrent requests that a target serves well."""
+        declarations = self._declarations()
+        services = declarations['services'] if declarations else []
+        for service in services:
+            for document in service['targets']:
+                if document['name'] == target:
+                    return document['accelerators'] * CAPACITY_PER_ACCELERATOR
+        return CAPACITY_PER_ACCELERATOR
--- /dev/null
+++ b/cassiarail/placement/backends/local.py
@@ -0,0 +1,58 @@
+"""Plan the targets of one data centre within the whole fleet."""
+
+from collections.abc import Callable
+
+from cassiarail.declarations.schema import DeclarationsDocument
+from cassiarail.placement.backends.base import (
+    ModelNeed,
+    PlacementInput,
+    PlacementPolicy,
+    Plan,
+)
+from cassiarail.placement.homes import assign_homes
+from cassiarail.placement.needs import list_rooms, localise_need
+
+DeclarationsSource = Callable[[], DeclarationsDocument | None]
+
+
+class LocalPolicy(PlacementPolicy):
+    """Hand the models at home in a data centre to another policy.
+
+    Homes follow from the declared targets, not from those that are reached at
+    the moment, so that a partition doesn't move them.
+    """
+
+    def __init__(
+        self,
+        inner: PlacementPolicy,
+        data_centre: str,
+        declarations: DeclarationsSource,
+    ) -> None:
+        self.name = inner.name
+        self._inner = inner
+        self._data_centre = data_centre
+        self._declarations = declarations
+
+    def plan(self, situation: PlacementInput) -> Plan:
+        """Return a plan for the own targets only."""
+        declarations = self._declarations()
+        rooms = list_rooms(declarations) if declarations else ()
+        homes = assign_homes(situation.models, rooms).by_model
+        targets = tuple(
+            target
+            for target in situation.targets
+            if target.data_centre == self._data_centre
+        )
+        held = {key.model for target in targets for key in target.held}
+        localised = [
+            localise_need(need, homes[need.key.model], self._data_centre)
+            for need in situation.models
+        ]
+        models = tuple(need for need in localised if _is_local(need, held))
+        return self._inner.plan(
+            situation._replace(models=models, targets=targets),
+        )
+
+
+def _is_local(need: ModelNeed, held: set[str]) -> bool:
+    return need.replicas_min > 0 or need.key.model in held
--- a/cassiarail/placement/layout.py
+++ b/cassiarail/placement/layout.py
@@ -14,7 +14,7 @@
 # A bounded search keeps one placement step at O(log n): targets behind the
 # first ones are at least as loaded, so a longer search gains little.
 _SEARCH_TARGETS = 24
-_HeapEntry = tuple[float, str]
+_HeapEntry = tuple[float, int, str]
 
 
 class Layout:
@@ -60,6 +60,7 @@
         self.models[target].discard(model)
         self.free[target] += size_bundle(self.needs[model])
         self._shift(model, 1)
+        self._push(target)
 
     def share(self, model: str, extra: int = 0) -> float:
         """Return the demand on each replica, with some more replicas."""
@@ -99,8 +100,8 @@
         found: list[str] = []
         while heap and len(found) < _SEARCH_TARGETS:
             entry = heapq.heappop(heap)
-            utilisation, name = entry
-            if utilisation != self.utilisation(name):
+            name = entry[-1]
+            if entry != self._rank(name):
                 continue
             taken.append(entry)
             if self.can_hold(need, name):
@@ -150,7 +151,11 @@
 
     def _push(self, target: str) -> None:
         heap = self._heaps.setdefault(self.targets[target].service, [])
-        heapq.heappush(heap, (self.utilisation(target), target))
+        heapq.heappush(heap, self._rank(target))
+
+    def _rank(self, target: str) -> _HeapEntry:
+        """Order targets by load, among equals by free memory."""
+        return (self.utilisation(target), -self.free[target], target)
 
 
 def list_unneeded(
--- a/cassiarail/placement/measure.py
+++ b/cassiarail/placement/measure.py
@@ -26,7 +26,7 @@
 from cassiarail.placement.backends.static import StaticPolicy
 from cassiarail.placement.demand import Forecast
 from cassiarail.placement.homes import assign_homes
-from cassiarail.placement.needs import build_need, build_room
+from cassiarail.placement.needs import build_need, list_rooms
 from cassiarail.placement.simulation import bound_attainment, run_policy
 
 cli = typer.Typer(no_args_is_help=True)
@@ -46,18 +46,13 @@
 def read_situation(folder: pathlib.Path) -> PlacementInput:
     """Return the fleet of a declarations folder as one planning problem."""
     declarations, _ = load_folder(folder)
-    rooms = [
-        build_room(service['name'], target)
-        for service in declarations['services']
-        if service['kind'] == 'engine'
-        for target in service['targets']
-    ]
+    rooms = list_rooms(declarations)
     needs = [
         build_need(declarations, model, Forecast(0, 0))
         for model in declarations['models']
     ]
     price = declarations['fleet']['defaults']['move_price']
-    return PlacementInput(tuple(needs), tuple(rooms), price)
+    return PlacementInput(tuple(needs), rooms, price)
 
 
 def generate_fleet(models: int, accelerators: int, seed: int) -> PlacementInput:
--- a/cassiarail/placement/needs.py
+++ b/cassiarail/placement/needs.py
@@ -1,6 +1,6 @@
 """Derive the input of a plan from the declarations."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable
 
 from cassiarail.declarations.resolve import resolve_policy
 from cassiarail.declarations.schema import (
@@ -12,13 +12,11 @@
 from cassiarail.placement.backends.base import (
     HoldingKey,
     ModelNeed,
-    PlacementInput,
     TargetRoom,
 )
 from cassiarail.placement.demand import Forecast
-from cassiarail.placement.homes import assign_homes, count_base_replicas
+from cassiarail.placement.homes import count_base_replicas
 
-ForecastSource = Callable[[str], Forecast]
 # Concurrent requests that an accelerator serves at full speed.
 CAPACITY_PER_ACCELERATOR = 16.0
 
@@ -67,57 +65,26 @@
     )
 
 
-def build_situation(
-    declarations: DeclarationsDocument,
-    data_centre: str,
-    held: Mapping[str, Iterable[HoldingKey]],
-    leaving: Iterable[str],
-    forecast: ForecastSource,
-) -> PlacementInput:
-    """Return what one data centre has to place.
-
-    ``held`` maps targets to what they hold or load, ``leaving`` names the
-    targets on their way out. Models whose homes are elsewhere are included,
-    with no replica required, while a target here holds them.
-    """
-    away = frozenset(leaving)
-    rooms = [
-        build_room(
-            service['name'],
-            target,
-            held.get(target['name'], ()),
-            leaving=target['name'] in away,
-        )
+def list_rooms(declarations: DeclarationsDocument) -> tuple[TargetRoom, ...]:
+    """Return the rooms of all declared engines, empty."""
+    return tuple(
+        build_room(service['name'], target)
         for service in declarations['services']
         if service['kind'] == 'engine'
         for target in service['targets']
-    ]
-    needs = [
-        build_need(declarations, model, forecast(model['name']))
-        for model in declarations['models']
-    ]
-    homes = assign_homes(needs, rooms).by_model
-    local = [room for room in rooms if room.data_centre == data_centre]
-    held_here = {key.model for room in local for key in room.held}
-    localised = [
-        _localise(need, homes[need.key.model], data_centre) for need in needs
-    ]
-    return PlacementInput(
-        models=tuple(
-            need
-            for need in localised
-            if need.replicas_min or need.key.model in held_here
-        ),
-        targets=tuple(local),
-        move_price=declarations['fleet']['defaults']['move_price'],
     )
 
 
-def _localise(
+def localise_need(
     need: ModelNeed,
     homes: tuple[str, ...],
     data_centre: str,
 ) -> ModelNeed:
+    """Return the part of a need that one data centre covers.
+
+    A model whose home is elsewhere needs no replica here; it stays in the
+    plan while a target holds it, so that its memory counts.
+    """
     if data_centre not in homes:
         return need._replace(replicas_min=0, demand=0, data_centres=1)
     return need._replace(
--- a/tests/placement/test_policies.py
+++ b/tests/placement/test_policies.py
@@ -15,12 +15,13 @@
     TargetRoom,
 )
 from cassiarail.placement.backends.greedy import GreedyPolicy
+from cassiarail.placement.backends.local import LocalPolicy
 from cassiarail.placement.backends.priced import PricedPolicy
 from cassiarail.placement.backends.static import StaticPolicy
 from cassiarail.placement.demand import Forecast
 from cassiarail.placement.homes import assign_homes, size_bundle
 from cassiarail.placement.measure import read_situation
-from cassiarail.placement.needs import build_situation
+from cassiarail.placement.needs import build_need, list_rooms
 from cassiarail.placement.simulation import run_policy
 
 POLICIES = [StaticPolicy(), GreedyPolicy(), PricedPolicy()]
@@ -169,16 +170,25 @@
 
 
 def test_data_centres_agree_on_homes_without_asking():
-    """Each data centre must plan exactly the models whose home it is."""
+    """Each data centre must plan exactly the models whose home it is, also
+    while it reaches none of the others."""
     declarations, _ = load_folder(EXAMPLES / 'salines')
-    situations_ = [
-        build_situation(declarations, name, {}, (), lambda _m: Forecast(1, 0))
-        for name in declarations['fleet']['data_centres']
-    ]
-    planned = {need.key.model for each in situations_ for need in each.models}
-    assert planned == {model['name'] for model in declarations['models']}
-    for each in situations_:
-        assert PricedPolicy().plan(each).unplaced == {}
+    needs = tuple(
+        build_need(declarations, model, Forecast(1, 0))
+        for model in declarations['models']
+    )
+    placed = set()
+    for centre in declarations['fleet']['data_centres']:
+        reached = [
+            room
+            for room in list_rooms(declarations)
+            if room.data_centre == centre
+        ]
+        policy = LocalPolicy(PricedPolicy(), centre, lambda: declarations)
+        plan = policy.plan(PlacementInput(needs, tuple(reached), 0.2))
+        assert plan.unplaced == {}
+        placed |= {key.model for keys in plan.holdings.values() for key in keys}
+    assert placed == {model['name'] for model in declarations['models']}
 
 
 @pytest.mark.parametrize('policy', POLICIES, ids=lambda each: each.name)
