Add the load tool with its audit, report, comparison and plots

Cause: guarantees are counted from what callers were told and what really ran, and policies are compared on the same seeds.

--- /dev/null
+++ b/cassiarail/commands/load.py
@@ -0,0 +1,188 @@
+"""Define the program ``cassiarail-load``."""
+
+import pathlib
+import random
+from typing import Annotated, Any, NoReturn
+
+import httpx
+import msgspec
+import typer
+
+from cassiarail.core.checks import CheckMessage
+from cassiarail.core.clock import LoopClock
+from cassiarail.core.loops import run_real
+from cassiarail.core.version import read_version
+from cassiarail.load.audit import Audit, list_violations
+from cassiarail.load.client import LoadClient
+from cassiarail.load.compare import Comparison, compare_reports
+from cassiarail.load.generator import LoadGenerator
+from cassiarail.load.plot import plot_reports
+from cassiarail.load.report import (
+    RunLabels,
+    SystemFigures,
+    build_report,
+    read_reports,
+    write_report,
+)
+from cassiarail.load.scenario import (
+    ScenarioDocument,
+    ScenarioError,
+    read_scenario,
+)
+from cassiarail.standins.records import Records
+
+_EXIT_FAILED = 1
+_EXIT_REJECTED = 2
+_READ_S = 60
+program = typer.Typer(add_completion=False, no_args_is_help=True)
+
+
+def _print_version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(read_version())
+        raise typer.Exit
+
+
+@program.callback()
+def configure(
+    version: Annotated[
+        bool,
+        typer.Option('--version', callback=_print_version, is_eager=True),
+    ] = False,
+) -> None:
+    """Generate load on gateways, compare and plot the reports."""
+
+
+@program.command()
+def run(
+    scenario: Annotated[pathlib.Path, typer.Option(help='JSON scenario')],
+    report: Annotated[pathlib.Path, typer.Option(help='report to write')],
+    seed: Annotated[int, typer.Option(help='seed of the requests')] = 1,
+) -> None:
+    """Send the load of a scenario; exit 1 if a guarantee was violated."""
+    try:
+        document = read_scenario(scenario)
+    except ScenarioError as error:
+        _reject(error)
+    try:
+        violations = run_real(_run, document, report, seed)
+    except httpx.HTTPError as error:
+        typer.echo(f'the control port did not answer: {error!r}', err=True)
+        raise typer.Exit(_EXIT_FAILED) from error
+    for name in violations:
+        typer.echo(f'guarantee violated: {name}', err=True)
+    if violations:
+        raise typer.Exit(_EXIT_FAILED)
+
+
+@program.command()
+def compare(
+    first: Annotated[pathlib.Path, typer.Argument(help='report or folder')],
+    second: Annotated[pathlib.Path, typer.Argument(help='report or folder')],
+    as_json: Annotated[bool, typer.Option('--json')] = False,
+) -> None:
+    """Print the ratios of the second side to the first, over equal seeds."""
+    try:
+        compared = compare_reports(read_reports(first), read_reports(second))
+    except ScenarioError as error:
+        _reject(error)
+    if not compared:
+        typer.echo('the two sides have no seed in common', err=True)
+        raise typer.Exit(_EXIT_FAILED)
+    if as_json:
+        rows = [row._asdict() for row in compared]
+        typer.echo(msgspec.json.encode(rows).decode())
+        return
+    for row in compared:
+        typer.echo(_format(row))
+
+
+@program.command()
+def plot(
+    reports: Annotated[list[pathlib.Path], typer.Argument(help='reports')],
+    output: Annotated[pathlib.Path, typer.Option(help='SVG to write')],
+) -> None:
+    """Draw the figures of reports by policy as SVG."""
+    try:
+        found = [entry for path in reports for entry in read_reports(path)]
+    except ScenarioError as error:
+        _reject(error)
+    plot_reports(found, output)
+
+
+def main() -> None:
+    """Run the program."""
+    program()
+
+
+async def _run(
+    scenario: ScenarioDocument,
+    path: pathlib.Path,
+    seed: int,
+) -> list[str]:
+    clock = LoopClock()
+    client = LoadClient(
+        scenario,
+        httpx.AsyncHTTPTransport(limits=httpx.Limits(max_connections=None)),
+        clock,
+        random.Random(f'client {seed}'),
+    )
+    plan = LoadGenerator(scenario, random.Random(seed)).plan()
+    control = _Control(scenario['control_address'])
+    faults = await control.read('faults')
+    calls_before = await control.count_calls()
+    await client.run(plan)
+    calls = await control.count_calls() - calls_before
+    records = Records.restore(clock, await control.read('records'))
+    objective = scenario['objective']
+    counters = Audit(client.outcomes, records).count(
+        objective['first_token_s'], objective['inter_token_s']
+    )
+    written = build_report(
+        counters,
+        client.outcomes,
+        client.gaps,
+        RunLabels(
+            seed,
+            scenario['policy'],
+            scenario['accelerators'],
+            tuple(faults['faults']),
+        ),
+        SystemFigures(store_calls_per_second=calls / client.run_seconds),
+    )
+    write_report(path, written)
+    return list_violations(counters)
+
+
+class _Control:
+    """Read the control port of the stand-ins."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+
+    async def read(self, path: str) -> Any:
+        """Return a JSON document of the control port."""
+        async with httpx.AsyncClient(timeout=_READ_S) as client:
+            response = await client.get(f'http://{self._address}/{path}')
+        return response.raise_for_status().json()
+
+    async def count_calls(self) -> int:
+        """Return the number of calls to the object API."""
+        document = await self.read('calls')
+        return sum(entry['count'] for entry in document['calls'])
+
+
+def _reject(error: ScenarioError) -> NoReturn:
+    for line in map(CheckMessage.format_line, error.problems):
+        typer.echo(line, err=True)
+    raise typer.Exit(_EXIT_REJECTED) from error
+
+
+def _format(row: Comparison) -> str:
+    if row.ratio is None:
+        return f'{row.name}: {row.first:.4g} -> {row.second:.4g}'
+    return (
+        f'{row.name}: {row.first:.4g} -> {row.second:.4g}, ratio'
+        f' {row.ratio:.3f} [{row.low:.3f}, {row.high:.3f}],'
+        f' {row.seeds} seeds'
+    )
--- /dev/null
+++ b/cassiarail/load/audit.py
@@ -0,0 +1,225 @@
+"""Compare what callers were told with what really ran."""
+
+import collections
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from cassiarail.core.events import emit_event
+from cassiarail.core.verdict import Verdict
+from cassiarail.load.events import GUARANTEE_VIOLATED
+from cassiarail.load.outcomes import (
+    QUARANTINED,
+    AnswerFault,
+    Attempt,
+    Outcome,
+)
+from cassiarail.standins.records import Records
+
+# A model whose requests all fail for this long counts as unreachable (P2).
+UNREACHABLE_S = 10
+_UNREACHABLE_REQUESTS = 3
+_STATUS_TOO_MANY = 429
+# An answer that a stopping gateway cuts breaks at most this long after its
+# stop began.
+_STOP_WINDOW_S = 60
+
+
+class Counters(NamedTuple):
+    """Hold the counters of the audit; a kept guarantee has 0.
+
+    The first five only classify requests: each is answered, refused as not
+    run, or uncertain.
+    """
+
+    requests: int = 0
+    answered: int = 0
+    refused_not_run: int = 0
+    uncertain: int = 0
+    on_time: int = 0
+    broken_streams: int = 0
+    misdelivered: int = 0
+    doubled: int = 0
+    lost: int = 0
+    not_run_but_ran: int = 0
+    overpromised_bytes_max: int = 0
+    unreachable_models: int = 0
+    late_new_work: int = 0
+    cut_by_planned_stop: int = 0
+
+
+GUARANTEES = (
+    'broken_streams',
+    'misdelivered',
+    'doubled',
+    'lost',
+    'not_run_but_ran',
+    'overpromised_bytes_max',
+    'unreachable_models',
+    'late_new_work',
+    'cut_by_planned_stop',
+)
+
+
+class Audit:
+    """Count the violations of a run."""
+
+    def __init__(
+        self,
+        outcomes: Sequence[Outcome],
+        records: Records,
+    ) -> None:
+        self._outcomes = outcomes
+        self._records = records
+        self._run_ids = {run.request_id for run in records.runs}
+        self._fingerprints = {run.fingerprint for run in records.runs}
+        self._writes = collections.Counter(
+            filing.record_id for filing in records.filings
+        )
+
+    def count(self, first_token_s: float, inter_token_s: float) -> Counters:
+        """Return all counters; ``on_time`` is by the latency objective."""
+        outcomes = self._outcomes
+        counters = Counters(
+            requests=len(outcomes),
+            answered=_count(part.is_answered for part in outcomes),
+            refused_not_run=_count(map(_is_refused, outcomes)),
+            uncertain=_count(map(_is_uncertain, outcomes)),
+            on_time=_count(
+                part.meets(first_token_s, inter_token_s) for part in outcomes
+            ),
+            broken_streams=_count(map(_is_broken, outcomes)),
+            misdelivered=_count(map(_is_misdelivered, outcomes)),
+            doubled=self.count_doubled(),
+            lost=_count(map(self.is_lost, outcomes)),
+            not_run_but_ran=_count(map(self.ran_unknown, outcomes)),
+            overpromised_bytes_max=self._records.overcommitted_bytes_max(),
+            unreachable_models=len(list_unreachable(outcomes)),
+            late_new_work=len(self._records.list_late_work()),
+            cut_by_planned_stop=self.count_cut(),
+        )
+        report_violations(counters)
+        return counters
+
+    def count_doubled(self) -> int:
+        """Return the writes beyond the first of each filing or payment."""
+        return sum(count - 1 for count in self._writes.values())
+
+    def is_lost(self, outcome: Outcome) -> bool:
+        """Tell whether a filing that was confirmed was never written."""
+        if outcome.planned.kind.is_completion:
+            return False
+        confirmed = any(
+            attempt.is_complete or attempt.verdict is Verdict.RAN
+            for attempt in outcome.attempts
+        )
+        return confirmed and not self._writes[outcome.planned.body['id']]
+
+    def ran_unknown(self, outcome: Outcome) -> bool:
+        """Tell whether a request ran that was reported as not run."""
+        reported = [
+            attempt
+            for attempt in outcome.attempts
+            if attempt.verdict is Verdict.NOT_RUN
+        ]
+        if any(attempt.request_id in self._run_ids for attempt in reported):
+            return True
+        if len(reported) < len(outcome.attempts):
+            return False
+        return outcome.planned.fingerprint in self._fingerprints
+
+    def count_cut(self) -> int:
+        """Return the requests that a planned stop interrupted."""
+        stops = [
+            (departure.name, departure.began_at)
+            for departure in self._records.departures
+        ]
+        cut_answers = _count(
+            _is_cut(attempt, stops)
+            for outcome in self._outcomes
+            for attempt in outcome.attempts
+        )
+        return cut_answers + _count(self._records.list_cut_runs())
+
+
+def list_unreachable(outcomes: Iterable[Outcome]) -> list[str]:
+    """Return the models that no request reached for too long.
+
+    Requests that were refused because of load (429) count neither way, and
+    neither do those that crash their engine.
+    """
+    by_model = collections.defaultdict(list)
+    for outcome in sorted(outcomes, key=lambda entry: entry.intended_at):
+        counts = outcome.planned.model and not outcome.planned.is_poisoned
+        if counts and outcome.last.status != _STATUS_TOO_MANY:
+            by_model[outcome.planned.model].append(outcome)
+    return [model for model, known in by_model.items() if _has_outage(known)]
+
+
+def list_violations(counters: Counters) -> list[str]:
+    """Return the names of the guarantees whose counters are not 0."""
+    counts = counters._asdict()
+    return [name for name in GUARANTEES if counts[name]]
+
+
+def report_violations(counters: Counters) -> None:
+    """Log each guarantee that was violated."""
+    counts = counters._asdict()
+    for name in list_violations(counters):
+        emit_event(GUARANTEE_VIOLATED, counter=name, count=counts[name])
+
+
+def _has_outage(outcomes: Sequence[Outcome]) -> bool:
+    """Tell whether a row of failed requests spans too long a time."""
+    failed: list[float] = []
+    for outcome in outcomes:
+        if outcome.is_answered:
+            failed = []
+            continue
+        failed.append(outcome.intended_at)
+        long = failed[-1] - failed[0] >= UNREACHABLE_S
+        if long and len(failed) >= _UNREACHABLE_REQUESTS:
+            return True
+    enough = len(failed) >= _UNREACHABLE_REQUESTS
+    return enough and len(failed) == len(outcomes)
+
+
+def _is_refused(outcome: Outcome) -> bool:
+    return not outcome.is_answered and outcome.verdict is Verdict.NOT_RUN
+
+
+def _is_uncertain(outcome: Outcome) -> bool:
+    return not outcome.is_answered and outcome.verdict is not Verdict.NOT_RUN
+
+
+def _is_broken(outcome: Outcome) -> bool:
+    """Tell whether an answer began and remained incomplete.
+
+    Only a request that crashes engines may be ended, as quarantined.
+    """
+    if outcome.planned.is_poisoned and (outcome.last.error_code == QUARANTINED):
+        return False
+    return outcome.last.fault is AnswerFault.BROKEN
+
+
+def _is_misdelivered(outcome: Outcome) -> bool:
+    return any(
+        attempt.fault is AnswerFault.MISDELIVERED
+        for attempt in outcome.attempts
+    )
+
+
+def _is_cut(attempt: Attempt, stops: Sequence[tuple[str, float]]) -> bool:
+    """Tell whether a request broke while its gateway was stopping."""
+    began = attempt.verdict is not Verdict.NOT_RUN
+    if not began or attempt.is_complete or attempt.error_code:
+        return False
+    return any(
+        name == attempt.gateway
+        and 0 <= attempt.ended_at - began_at <= _STOP_WINDOW_S
+        and attempt.began_at <= attempt.ended_at
+        for name, began_at in stops
+    )
+
+
+def _count(found: Iterable[object]) -> int:
+    return sum(1 for entry in found if entry)
--- a/cassiarail/standins/records.py
+++ b/cassiarail/standins/records.py
@@ -4,8 +4,8 @@
 monotonic seconds of the clock that the stand-ins share.
 """
 
-from collections.abc import Iterator
-from typing import Any, NamedTuple
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import Any, NamedTuple, TypeVar
 
 from cassiarail.core.clock import Clock
 
@@ -16,6 +16,8 @@
 CRASHED = 'crashed'
 CUT_BY_STOP = 'cut_by_stop'
 
+_Entry = TypeVar('_Entry')
+
 
 class Run(NamedTuple):
     """Describe one request that a target began."""
@@ -220,8 +222,33 @@
             'departures': [part._asdict() for part in self.departures],
         }
 
+    @classmethod
+    def restore(cls, clock: Clock, document: Mapping[str, Any]) -> 'Records':
+        """Return the records that ``describe`` wrote in another process."""
+        records = cls(clock)
+        for number, part in enumerate(document['runs']):
+            run = dict(part)
+            outcome = run.pop('outcome')
+            ended_at = run.pop('ended_at')
+            records.runs.append(Run(**run))
+            if outcome:
+                records.ends[number] = RunEnd(number, outcome, ended_at)
+        records.arrivals = _restore(Arrival, document['arrivals'])
+        records.orders = _restore(AppliedOrder, document['orders'])
+        records.memory = _restore(MemorySample, document['memory'])
+        records.filings = _restore(Filing, document['filings'])
+        records.departures = _restore(Departure, document['departures'])
+        return records
+
     def _describe_end(self, number: int) -> dict[str, object]:
         end = self.ends.get(number)
         if end is None:
             return {'outcome': '', 'ended_at': None}
         return {'outcome': end.outcome, 'ended_at': end.ended_at}
+
+
+def _restore(
+    shape: Callable[..., _Entry],
+    documents: Sequence[Mapping[str, Any]],
+) -> list[_Entry]:
+    return [shape(**document) for document in documents]
--- /dev/null
+++ b/tests/load/test_audit.py
@@ -0,0 +1,142 @@
+"""Plant each violation and see that its counter rises."""
+
+import pytest
+
+from cassiarail.core.clock import ManualClock
+from cassiarail.core.verdict import Verdict
+from cassiarail.load.audit import Audit, list_violations
+from cassiarail.load.generator import PlannedRequest, RequestKind
+from cassiarail.load.outcomes import AnswerFault, Attempt, Outcome
+from cassiarail.standins.records import CRASHED, CUT_BY_STOP, Records
+
+
+def make_outcome(kind=RequestKind.STREAM, at=0.0, poisoned=False, **attempt):
+    body = {'id': 'f1'}
+    if kind.is_completion:
+        body = {'model': 'm', 'messages': [{'content': f'{at}'}]}
+    planned = PlannedRequest(0, at, kind, 'c', 'k', 'm', body, poisoned)
+    settings = {'verdict': Verdict.RAN, 'is_complete': True, **attempt}
+    return Outcome(planned, at, (Attempt('g1', at, at + 1, **settings),))
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def records(clock):
+    return Records(clock)
+
+
+def count(records, *outcomes):
+    counters = Audit(outcomes, records).count(1, 1)
+    return counters, list_violations(counters)
+
+
+def fail(**attempt):
+    settings = {'is_complete': False, 'verdict': Verdict.MAY_HAVE_RUN}
+    return make_outcome(**{**settings, **attempt})
+
+
+def test_a_clean_run_has_no_violation(records):
+    records.write_filing('s1', '/filings', 'f1', 'r1', 'k1')
+    counters, violations = count(
+        records,
+        make_outcome(),
+        make_outcome(RequestKind.FILING),
+        fail(verdict=Verdict.NOT_RUN, status=503, request_id='r9'),
+        fail(),
+    )
+    assert violations == []
+    assert counters.requests == 4
+    assert counters.answered == 2
+    assert counters.refused_not_run == 1
+    assert counters.uncertain == 1
+
+
+def test_broken_streams_and_only_poison_may_be_quarantined(records):
+    broken = {'fault': AnswerFault.BROKEN, 'error_code': 'quarantined'}
+    counters, violations = count(
+        records, fail(**broken), fail(poisoned=True, **broken)
+    )
+    assert violations == ['broken_streams']
+    assert counters.broken_streams == 1
+
+
+def test_misdelivered(records):
+    wrong = fail(fault=AnswerFault.MISDELIVERED)
+    assert count(records, wrong)[1] == ['misdelivered']
+
+
+def test_doubled(records):
+    for _ in range(3):
+        records.write_filing('s1', '/filings', 'f1', 'r1', 'k1')
+    counters, violations = count(records, make_outcome(RequestKind.FILING))
+    assert violations == ['doubled']
+    assert counters.doubled == 2
+
+
+def test_lost(records):
+    assert count(records, make_outcome(RequestKind.FILING))[1] == ['lost']
+    # The body was cut, but the header already said that it ran.
+    cut = fail(kind=RequestKind.FILING, verdict=Verdict.RAN)
+    assert count(records, cut)[1] == ['lost']
+
+
+def test_not_run_but_ran(records):
+    told = fail(verdict=Verdict.NOT_RUN, request_id='r1')
+    assert not count(records, told)[1]
+    records.begin_run('e1', 'e1#1', 'r1', 'print')
+    assert count(records, told)[1] == ['not_run_but_ran']
+    filing = fail(kind=RequestKind.FILING, verdict=Verdict.NOT_RUN)
+    records.begin_run('s1', 's1#1', 'another', 'f1')
+    assert count(records, filing)[1] == ['not_run_but_ran']
+
+
+def test_overpromised_memory(records):
+    records.sample_memory('e1', 'e1#1', 110, 100)
+    assert count(records)[0].overpromised_bytes_max == 10
+
+
+def test_unreachable_models_by_time_and_by_number(records):
+    failed = [fail(at=float(at)) for at in (1, 6, 12)]
+    assert count(records, *failed)[1] == ['unreachable_models']
+    between = make_outcome(at=5.0)
+    assert not count(records, *failed, between)[1]
+    busy = [fail(at=float(at), status=429) for at in (1, 6, 12)]
+    assert not count(records, *busy)[1]
+
+
+def test_late_new_work(records, clock):
+    records.begin_departure('e1', 'e1#1')
+    clock.advance(2.9)
+    records.receive_work('e1', 'e1#1', 'r1')
+    assert not count(records)[1]
+    clock.advance(0.2)
+    records.receive_work('e1', 'e1#1', 'r2')
+    assert count(records)[1] == ['late_new_work']
+
+
+def test_cut_by_a_planned_stop_of_a_target_or_a_gateway(records):
+    crashed = records.begin_run('e1', 'e1#1', 'r1', 'print')
+    records.end_run(crashed, CRASHED)
+    assert not count(records)[1]
+    cut = records.begin_run('e1', 'e1#1', 'r2', 'print2')
+    records.end_run(cut, CUT_BY_STOP)
+    assert count(records)[1] == ['cut_by_planned_stop']
+    records.begin_departure('g1', 'g1#1')
+    broken = fail(fault=AnswerFault.BROKEN)
+    assert count(records, broken)[0].cut_by_planned_stop == 2
+
+
+def test_records_survive_the_way_to_another_process(records, clock):
+    number = records.begin_run('e1', 'e1#1', 'r1', 'print')
+    records.end_run(number, CUT_BY_STOP)
+    records.begin_run('e1', 'e1#1', 'r2', 'print')
+    records.write_filing('s1', '/filings', 'f1', 'r1', 'k1')
+    records.sample_memory('e1', 'e1#1', 110, 100)
+    records.begin_departure('e1', 'e1#1')
+    restored = Records.restore(clock, records.describe())
+    assert restored.describe() == records.describe()
+    assert len(list(restored.list_cut_runs())) == 1
