Audit only the records of the run

Change: cassiarail-load leaves out the records from before its start. Conclusion: the counter no longer depends on earlier runs.

--- a/cassiarail/commands/load.py
+++ b/cassiarail/commands/load.py
@@ -29,7 +29,7 @@
     ScenarioError,
     read_scenario,
 )
-from cassiarail.standins.records import Records
+from cassiarail.standins.records import Records, omit_earlier
 
 _EXIT_FAILED = 1
 _EXIT_REJECTED = 2
@@ -131,9 +131,13 @@
     control = _Control(scenario['control_address'])
     faults = await control.read('faults')
     calls_before = await control.count_calls()
+    recorded = await control.read('records')
     await client.run(plan)
     calls = await control.count_calls() - calls_before
-    records = Records.restore(clock, await control.read('records'))
+    # An earlier run on the same stand-ins may have sent the same requests.
+    records = Records.restore(
+        clock, omit_earlier(await control.read('records'), recorded)
+    )
     objective = scenario['objective']
     counters = Audit(client.outcomes, records).count(
         objective['first_token_s'], objective['inter_token_s']
--- a/cassiarail/standins/records.py
+++ b/cassiarail/standins/records.py
@@ -247,6 +247,16 @@
         return {'outcome': end.outcome, 'ended_at': end.ended_at}
 
 
+def omit_earlier(
+    document: Mapping[str, Any],
+    earlier: Mapping[str, Any],
+) -> dict[str, Any]:
+    """Return described records without those of an earlier description."""
+    return {
+        key: entries[len(earlier[key]) :] for key, entries in document.items()
+    }
+
+
 def _restore(
     shape: Callable[..., _Entry],
     documents: Sequence[Mapping[str, Any]],
--- a/tests/load/test_audit.py
+++ b/tests/load/test_audit.py
@@ -7,7 +7,12 @@
 from cassiarail.load.audit import Audit, list_violations
 from cassiarail.load.generator import PlannedRequest, RequestKind
 from cassiarail.load.outcomes import AnswerFault, Attempt, Outcome
-from cassiarail.standins.records import CRASHED, CUT_BY_STOP, Records
+from cassiarail.standins.records import (
+    CRASHED,
+    CUT_BY_STOP,
+    Records,
+    omit_earlier,
+)
 
 
 def make_outcome(kind=RequestKind.STREAM, at=0.0, poisoned=False, **attempt):
@@ -140,3 +145,8 @@
     restored = Records.restore(clock, records.describe())
     assert restored.describe() == records.describe()
     assert len(list(restored.list_cut_runs())) == 1
+    earlier = records.describe()
+    records.begin_run('e1', 'e1#1', 'r3', 'print')
+    later = omit_earlier(records.describe(), earlier)
+    assert [run['request_id'] for run in later['runs']] == ['r3']
+    assert not later['filings']
