--- a/cassiarail/load/__init__.py
+++ b/cassiarail/load/__init__.py
@@ -1,1 +1,1 @@
-"""Generate load and measure what the system makes of it."""
+"""Generate load, audit what callers were told and report the figures."""
