Correct the key of a refusal test

Change: a well-formed key with the last possible timestamp; the expected error stays the same. Conclusion: the gateway was right; the test was wrong.

--- a/tests/gateway/test_refusals.py
+++ b/tests/gateway/test_refusals.py
@@ -95,7 +95,7 @@
     (_file(make_key(-24 * 3600 - 1)), 422, 'CR3011'),
     (_file(make_key(301)), 422, 'CR3011'),
     (
-        _file(str(uuid.UUID(int=(0xFFFFFFFFFFFF << 80) | (7 << 76)))),
+        _file(LAST_KEY),
         422,
         'CR3011',
     ),
