Assemble the gateway process

Cause: the request path, routing, limits and quarantine existed as parts; no process joined them.

Change: cassiarail-gateway with adapters for admission, target choice and quarantine, a demand meter, the feed from controllers, span export and both listeners. Announcements of crashes carry no demand figures, since empty ones would have replaced the gateway's demand.

Seen and open: response headers date and server of the target appear twice, and completion_tokens is one too many.

--- /dev/null
+++ b/cassiarail/commands/gateway.py
@@ -0,0 +1,82 @@
+"""Define the program ``cassiarail-gateway``."""
+
+import pathlib
+import random
+from typing import Annotated
+
+import httpx
+import typer
+
+from cassiarail.commands.options import VersionOption, load_or_exit
+from cassiarail.conf.loader import read_secret
+from cassiarail.conf.schema import GatewaySettings
+from cassiarail.core.clock import LoopClock
+from cassiarail.core.lifecycle import Application
+from cassiarail.core.loops import run_real
+from cassiarail.gateway.process import GatewayLinks, GatewayProcess
+from cassiarail.membership.backends.codec import SignedCodec
+from cassiarail.membership.backends.grpc import GrpcPeerTransport
+from cassiarail.store.backends.http import HttpObjectStore
+from cassiarail.telemetry.listener import HttpListener
+from cassiarail.telemetry.logs import configure_logs
+from cassiarail.telemetry.metrics import create_registry
+from cassiarail.telemetry.tracing import Tracing
+
+program = typer.Typer(add_completion=False)
+_CONNECTIONS_PER_TARGET = 512
+
+
+def create_tcp_transport(address: str) -> httpx.AsyncBaseTransport:
+    """Return one pool of connections for a target."""
+    return httpx.AsyncHTTPTransport(
+        limits=httpx.Limits(max_connections=_CONNECTIONS_PER_TARGET),
+    )
+
+
+async def run_gateway(settings: GatewaySettings, secret: bytes) -> None:
+    """Run a gateway until it is told to stop."""
+    clock = LoopClock()
+    tracing = Tracing('gateway', settings.get('telemetry', {}), clock)
+    process = GatewayProcess(
+        settings,
+        GatewayLinks(
+            HttpObjectStore(settings['object_api']),
+            GrpcPeerTransport(SignedCodec(secret, clock)),
+            create_tcp_transport,
+        ),
+        clock,
+        random.Random(),
+        create_registry(),
+        tracing.tracer,
+    )
+    operators = HttpListener(
+        'operators',
+        settings['operators'],
+        process.build_operators(lambda: application.is_ready()),
+    )
+    callers = HttpListener('callers', settings['callers'], process.asgi)
+    application = Application(
+        'gateway',
+        [tracing, operators, callers, *process.components],
+        clock,
+    )
+    try:
+        await application.run(handle_signals=True)
+    finally:
+        await process.aclose()
+
+
+@program.command()
+def serve(
+    settings: Annotated[pathlib.Path, typer.Argument(help='JSON settings')],
+    version: VersionOption = False,
+) -> None:
+    """Take callers' requests, route, retry and stream."""
+    document, secret = load_or_exit(settings, GatewaySettings, read_secret)
+    configure_logs(document.get('telemetry', {}).get('log_level', 'info'))
+    run_real(run_gateway, document, secret)
+
+
+def main() -> None:
+    """Run the program."""
+    program()
--- a/cassiarail/controller/process.py
+++ b/cassiarail/controller/process.py
@@ -188,7 +188,9 @@
         await self.node.announce_configuration()
 
     async def _take_report(self, report: pb.GatewayReport) -> None:
-        self.demand.take_report(report)
+        is_announcement = bool(report.suspicions or report.cleared)
+        if not is_announcement:
+            self.demand.take_report(report)
         for suspicion in report.suspicions:
             self.node.record_crash(
                 suspicion.fingerprint,
--- /dev/null
+++ b/cassiarail/gateway/adapters.py
@@ -0,0 +1,239 @@
+"""Join routing, limits and quarantine to the request path."""
+
+import contextlib
+from collections.abc import AsyncIterator, Callable, Sequence
+
+from cassiarail.core.clock import Clock
+from cassiarail.core.exceptions import CassiarailError
+from cassiarail.gateway.hooks import (
+    Admission,
+    AttemptOutcome,
+    CrashGuard,
+    RequestFacts,
+    TargetChooser,
+)
+from cassiarail.gateway.overload import Overload
+from cassiarail.gateway.quarantine import Quarantine, Run
+from cassiarail.routing.backends.base import RequestNeed, RoutingPolicy
+from cassiarail.routing.snapshot import TargetState
+from cassiarail.routing.table import RoutingTable
+
+_RunContext = contextlib.AbstractAsyncContextManager[Run]
+_WatchedRun = tuple[_RunContext, str]
+FindInstance = Callable[[str], str]
+
+
+class DemandMeter:
+    """Average the concurrent requests of each model between two readings.
+
+    Queued requests count, because placement follows what is wanted and not
+    what the present replicas let through.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._counts: dict[str, int] = {}
+        self._sums: dict[str, float] = {}
+        self._updated: dict[str, float] = {}
+
+    def change(self, model: str, difference: int) -> None:
+        """Note that requests for a model began or ended."""
+        self._integrate(model)
+        self._counts[model] = self._counts.get(model, 0) + difference
+
+    def read(self, interval_s: float) -> dict[str, float]:
+        """Return the means over an interval that ends now; start anew."""
+        for model in self._counts:
+            self._integrate(model)
+        means = {
+            model: total / interval_s for model, total in self._sums.items()
+        }
+        self._sums = dict.fromkeys(self._counts, float(0))
+        return means
+
+    def _integrate(self, model: str) -> None:
+        now = self._clock.monotonic()
+        since = self._updated.get(model, now)
+        passed = (now - since) * self._counts.get(model, 0)
+        self._sums[model] = self._sums.get(model, 0) + passed
+        self._updated[model] = now
+
+
+class RoutedAdmission(Admission, TargetChooser):
+    """Admit requests to targets with a free slot and choose among these.
+
+    Admission picks the target of the first attempt together with its slot;
+    later attempts move the slot to the target that the policy chooses then.
+    """
+
+    def __init__(
+        self,
+        table: RoutingTable,
+        policy: RoutingPolicy,
+        overload: Overload,
+        meter: DemandMeter,
+    ) -> None:
+        self._table = table
+        self._policy = policy
+        self._overload = overload
+        self._meter = meter
+        self._granted: dict[str, str] = {}
+
+    @contextlib.asynccontextmanager
+    async def admit(self, facts: RequestFacts) -> AsyncIterator[None]:
+        """Hold a slot at a target while the request runs."""
+        candidates = self._table.find_candidates(_build_need(facts))
+        if not candidates:
+            # The request path tells the caller that no target can take it.
+            yield
+            return
+        states = {state.name: state for state in candidates}
+        if facts.model:
+            self._meter.change(facts.model, 1)
+        try:
+            async with self._overload.admit(
+                facts.caller,
+                facts.priority,
+                facts.deadline,
+                tuple(states),
+                _Choice(self._policy, self._table, facts, states),
+            ) as permit:
+                self._granted[facts.request_id] = permit.target
+                yield
+        finally:
+            self._granted.pop(facts.request_id, None)
+            if facts.model:
+                self._meter.change(facts.model, -1)
+
+    def choose(
+        self,
+        candidates: Sequence[TargetState],
+        facts: RequestFacts,
+    ) -> TargetState:
+        """Return the admitted target first, then what the policy prefers."""
+        granted = self._granted.pop(facts.request_id, '')
+        for state in candidates:
+            if state.name == granted:
+                return state
+        usable = [
+            state
+            for state in candidates
+            if not self._table.outliers.is_ejected(state.name)
+        ]
+        return self._policy.choose(
+            _build_need(facts),
+            usable or candidates,
+            self._table,
+        )
+
+    def on_sent(self, target: TargetState, facts: RequestFacts) -> None:
+        """Count the attempt in flight."""
+        self._table.start(target.name)
+
+    def on_finished(
+        self,
+        target: TargetState,
+        facts: RequestFacts,
+        outcome: AttemptOutcome,
+    ) -> None:
+        """Learn the latency and the health of a target."""
+        name = target.name
+        self._table.finish(name)
+        limit = self._overload.limits.find(name)
+        if outcome.first_byte_s is not None:
+            limit.record_latency(outcome.first_byte_s)
+        if outcome.refused:
+            limit.record_overload()
+        elif outcome.succeeded:
+            self._table.outliers.record_success(name)
+        elif not outcome.abandoned:
+            self._table.outliers.record_failure(name)
+
+
+class _Choice:
+    """Choose among the targets with a free slot."""
+
+    def __init__(
+        self,
+        policy: RoutingPolicy,
+        table: RoutingTable,
+        facts: RequestFacts,
+        states: dict[str, TargetState],
+    ) -> None:
+        self._policy = policy
+        self._table = table
+        self._need = _build_need(facts)
+        self._states = states
+
+    def __call__(self, names: Sequence[str]) -> str:
+        """Return the name of the chosen target."""
+        free = [self._states[name] for name in names]
+        return self._policy.choose(self._need, free, self._table).name
+
+
+class QuarantineGuard(CrashGuard):
+    """Let the quarantine watch every attempt."""
+
+    def __init__(self, quarantine: Quarantine, instance: FindInstance) -> None:
+        """Take the function that names the present instance of a target."""
+        self._quarantine = quarantine
+        self._instance = instance
+        self._runs: dict[str, list[_WatchedRun]] = {}
+
+    async def check(self, fingerprint: str) -> None:
+        """Refuse a quarantined request."""
+        self._quarantine.check(fingerprint)
+
+    async def on_start(self, fingerprint: str, target: str) -> None:
+        """Begin to watch an attempt; a suspect may have to wait."""
+        instance = self._instance(target)
+        context = self._quarantine.watch(fingerprint, target, instance)
+        await context.__aenter__()  # noqa: WPS609
+        runs = self._runs.setdefault(f'{fingerprint}@{target}', [])
+        runs.append((context, instance))
+
+    async def on_success(self, fingerprint: str, target: str) -> None:
+        """Clear a suspect."""
+        context, _ = self._take(fingerprint, target)
+        await context.__aexit__(None, None, None)  # noqa: WPS609
+
+    async def on_crash(self, fingerprint: str, target: str) -> None:
+        """Suspect all requests in flight at the target."""
+        context, instance = self._take(fingerprint, target)
+        await self._quarantine.record_crash(target, instance)
+        await _end_failed(context)
+
+    async def on_end(self, fingerprint: str, target: str) -> None:
+        """Stop to watch an attempt that tells nothing."""
+        context, _ = self._take(fingerprint, target)
+        await _end_failed(context)
+
+    def _take(self, fingerprint: str, target: str) -> _WatchedRun:
+        key = f'{fingerprint}@{target}'
+        runs = self._runs[key]
+        taken = runs.pop()
+        if not runs:
+            self._runs.pop(key)
+        return taken
+
+
+class _AttemptEndedError(CassiarailError):
+    """End the watch of an attempt without clearing its request."""
+
+    error_id = 'CR3299'
+    code = 'attempt_ended'
+
+
+async def _end_failed(context: _RunContext) -> None:
+    error = _AttemptEndedError('the attempt ended without an answer')
+    with contextlib.suppress(_AttemptEndedError):
+        await context.__aexit__(type(error), error, None)  # noqa: WPS609
+
+
+def _build_need(facts: RequestFacts) -> RequestNeed:
+    return RequestNeed(
+        facts.service,
+        facts.model,
+        facts.adapter,
+        facts.prefix,
+    )
--- /dev/null
+++ b/cassiarail/gateway/process.py
@@ -0,0 +1,263 @@
+"""Assemble a whole gateway process from its settings."""
+
+import random
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+import httpx
+from opentelemetry import trace
+from prometheus_client import CollectorRegistry
+
+from cassiarail.conf import global_defaults
+from cassiarail.conf.schema import GatewaySettings
+from cassiarail.core.clock import Clock
+from cassiarail.core.exceptions import PeerError
+from cassiarail.core.lifecycle import Component
+from cassiarail.declarations.schema import (
+    ConfigurationDocument,
+    DeclarationsDocument,
+)
+from cassiarail.gateway.adapters import (
+    DemandMeter,
+    QuarantineGuard,
+    RoutedAdmission,
+)
+from cassiarail.gateway.application import (
+    GatewayApplication,
+    GatewayEnvironment,
+    GatewayHooks,
+)
+from cassiarail.gateway.endpoints import GatewayLimits
+from cassiarail.gateway.feed import FeedClient
+from cassiarail.gateway.hooks import RetryBudget
+from cassiarail.gateway.overload import Overload
+from cassiarail.gateway.quarantine import Quarantine
+from cassiarail.limits.budget import RetryTokens
+from cassiarail.limits.suspicion import Announcement
+from cassiarail.membership.backends.base import PeerTransport
+from cassiarail.membership.protos import peers_pb2 as pb
+from cassiarail.routing.backends.affinity import AffinityPolicy
+from cassiarail.routing.backends.base import RoutingPolicy
+from cassiarail.routing.snapshot import RoutingSnapshot
+from cassiarail.routing.table import RoutingTable
+from cassiarail.store.backends.base import ObjectStore
+from cassiarail.telemetry.operators import build_operators
+
+TransportFactory = Callable[[str], httpx.AsyncBaseTransport]
+_REPORT_INTERVAL_S = 1.0
+
+
+class GatewayLinks(NamedTuple):
+    """Hold the connections of a gateway to everything outside it."""
+
+    store: ObjectStore
+    peers: PeerTransport
+    create_transport: TransportFactory
+
+
+class TokenBudget(RetryBudget):
+    """Spend retries from the tokens that successes earn."""
+
+    def __init__(self, tokens: RetryTokens) -> None:
+        self._tokens = tokens
+
+    def record_success(self) -> None:
+        """Earn a share of a retry."""
+        self._tokens.record_success()
+
+    def try_spend(self) -> bool:
+        """Take one retry from the budget, if there is one."""
+        return self._tokens.try_spend()
+
+
+class GatewayProcess:
+    """Own all parts of a gateway except its listeners."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        links: GatewayLinks,
+        clock: Clock,
+        generator: random.Random,
+        registry: CollectorRegistry,
+        tracer: trace.Tracer,
+        policy: RoutingPolicy | None = None,
+    ) -> None:
+        """Take a routing policy; ``None`` stands for affinity."""
+        self.settings = settings
+        self.registry = registry
+        self._links = links
+        self._meter = DemandMeter(clock)
+        self.feed = FeedClient(
+            links.peers,
+            lambda: [peer['address'] for peer in settings['controllers']],
+            self._collect_report,
+            clock,
+            generator,
+        )
+        self.feed.add_listener(self._take_update)
+        self.table = RoutingTable(clock)
+        self.overload = Overload(clock, find_weight=self._find_weight)
+        self.quarantine = Quarantine(
+            settings['name'],
+            clock,
+            generator,
+            self._announce,
+        )
+        routed = RoutedAdmission(
+            self.table,
+            policy or AffinityPolicy(generator),
+            self.overload,
+            self._meter,
+        )
+        self.application = GatewayApplication(
+            GatewayEnvironment(
+                name=settings['name'],
+                snapshot=self._read_snapshot,
+                declarations=self._read_declarations,
+                store=links.store,
+                clock=clock,
+                generator=generator,
+                transports=links.create_transport,
+                registry=registry,
+                tracer=tracer,
+                limits=_read_limits(settings),
+            ),
+            GatewayHooks(
+                routed,
+                routed,
+                QuarantineGuard(self.quarantine, self._find_instance),
+                TokenBudget(RetryTokens(clock)),
+            ),
+        )
+
+    @property
+    def components(self) -> Sequence[Component]:
+        """Return all parts in the order in which they start."""
+        return (self.feed, *self.application.components)
+
+    @property
+    def asgi(self) -> Any:
+        """Return the application of the callers' listener."""
+        return self.application.asgi
+
+    def describe(self) -> dict[str, Any]:
+        """Return the status for operators."""
+        return {
+            'name': self.settings['name'],
+            'data_centre': self.settings['data_centre'],
+            'generation': self._read_snapshot().generation,
+            'controller': self.feed.controller,
+            'in_progress': self.application.requests.count,
+            'queued': self.overload.queued,
+            'quarantine': [
+                entry._asdict() for entry in self.quarantine.list_entries()
+            ],
+        }
+
+    def build_operators(self, is_ready: Callable[[], bool]) -> Any:
+        """Return the application of the operators' listener."""
+        return build_operators(is_ready, self.registry, self.describe)
+
+    async def aclose(self) -> None:
+        """Close the connections that no component owns."""
+        await self._links.peers.aclose()
+        await self._links.store.aclose()
+
+    def _read_snapshot(self) -> RoutingSnapshot:
+        return self.feed.snapshot or RoutingSnapshot(0)
+
+    def _read_declarations(self) -> DeclarationsDocument:
+        configuration = self.feed.configuration
+        if configuration is None:
+            return _EMPTY
+        return configuration['declarations']
+
+    def _take_update(
+        self,
+        snapshot: RoutingSnapshot,
+        configuration: ConfigurationDocument | None,
+    ) -> None:
+        self.table.update(snapshot)
+        self.quarantine.merge_names(snapshot.quarantined, snapshot.suspects)
+
+    def _find_instance(self, target: str) -> str:
+        for state in self._read_snapshot().targets:
+            if state.name == target:
+                return state.instance
+        return ''
+
+    def _find_weight(self, caller: str) -> int:
+        for document in self._read_declarations()['callers']:
+            if document['name'] == caller:
+                return document.get('weight', 1)
+        return 1
+
+    async def _announce(self, announcement: Announcement) -> None:
+        report = pb.GatewayReport(gateway=self.settings['name'])
+        for notice in announcement.crashes:
+            for crash in notice.crashes:
+                target, _, instance = crash.partition('@')
+                report.suspicions.append(
+                    pb.CrashSuspicion(
+                        fingerprint=notice.fingerprint,
+                        target=target,
+                        instance=instance,
+                    ),
+                )
+        report.cleared.extend(each.fingerprint for each in announcement.cleared)
+        if not report.suspicions and not report.cleared:
+            return
+        try:
+            await self.feed.report_now(report)
+        except PeerError:
+            # The other gateways learn from their own attempts at worst.
+            return
+
+    def _collect_report(self) -> pb.GatewayReport:
+        demand = self._meter.read(_REPORT_INTERVAL_S)
+        return pb.GatewayReport(
+            gateway=self.settings['name'],
+            demand=[
+                pb.ModelDemand(model=model, concurrent=mean)
+                for model, mean in demand.items()
+            ],
+        )
+
+
+def _read_limits(settings: GatewaySettings) -> GatewayLimits:
+    limits = settings.get('limits', {})
+    return GatewayLimits(
+        body_bytes=limits.get(
+            'body_max_bytes',
+            global_defaults.CALLER_BODY_MAX_BYTES,
+        ),
+        header_bytes=limits.get(
+            'headers_max_bytes',
+            global_defaults.CALLER_HEADERS_MAX_BYTES,
+        ),
+        body_time_s=limits.get(
+            'body_timeout_s',
+            global_defaults.CALLER_BODY_TIMEOUT_S,
+        ),
+        connect_timeout_s=global_defaults.TARGET_CONNECT_TIMEOUT_S,
+    )
+
+
+_EMPTY = DeclarationsDocument(
+    fleet={
+        'deployment': '',
+        'region': '',
+        'data_centres': [],
+        'defaults': {},
+        'platform': {
+            'weight_loads_per_second': 0,
+            'weight_loads_at_once': 0,
+            'adapter_loads_in_flight': 0,
+        },
+    },
+    models=[],
+    services=[],
+    callers=[],
+    exceptions=[],
+)
