Bind requests to a model version and end orders with their instance

Cause: unloading one version waited for requests on another, and a crashed engine went on fetching weights. Change: each request runs on the newest ready version; orders are cancelled with their instance; half of the lost orders lose only the answer. Conclusion: a new version can be loaded beside the old one.

--- a/cassiarail/standins/batch.py
+++ b/cassiarail/standins/batch.py
@@ -52,9 +52,10 @@
 class Generation:
     """Hold the tokens that were generated for one request."""
 
-    def __init__(self, work: Work, number: int) -> None:
-        """Take the number of its run in the records."""
+    def __init__(self, work: Work, number: int, version: str = '') -> None:
+        """Take the number of its run in the records and the model version."""
         self.work = work
+        self.version = version
         self.number = number
         self.tokens: list[str] = []
         self.finish_reason = ''
@@ -158,11 +159,12 @@
         """Tell whether the queue takes no more requests."""
         return self.queued >= self.speed.queue_max
 
-    def uses(self, model: str, adapter: str) -> bool:
+    def uses(self, model: str, version: str, adapter: str) -> bool:
         """Tell whether a request in progress needs a model or an adapter."""
         waiting = (entry[-1] for entry in self._waiting)
         return any(
             part.work.model == model
+            and part.version == version
             and (not adapter or part.work.adapter == adapter)
             for part in itertools.chain(self.running, waiting)
         )
--- a/cassiarail/standins/engine.py
+++ b/cassiarail/standins/engine.py
@@ -20,6 +20,7 @@
 from cassiarail.standins.holdings import (
     AdapterLoads,
     Holdings,
+    HoldingsHooks,
     Order,
     WeightFetcher,
 )
@@ -147,7 +148,7 @@
             environment.records,
             environment.fetch,
             environment.adapter_loads,
-            self.batch.uses,
+            HoldingsHooks(self.batch.uses, self._forget_prefixes),
         )
         self.loads = LoadHistory(
             environment.clock, instance, self.settings.report_lag_s
@@ -161,11 +162,15 @@
 
     def _go_down(self, outcome: str) -> None:
         self.is_down = True
-        self.holdings.is_closed = True
+        self.holdings.close()
         for generation in self.batch.clear(outcome):
             self.environment.records.end_run(generation.number, outcome)
         self.streams.clear()
 
+    def _forget_prefixes(self, model: str) -> None:
+        if self.holdings.find_version(model) is None:
+            self.prefixes.drop_model(model)
+
     def _kv_limit(self) -> int:
         free = self.settings.memory_bytes - self.holdings.held_bytes
         return max(free, int(self.settings.memory_bytes * _KV_SHARE_MIN))
@@ -189,7 +194,7 @@
         """Return why a request is not begun, or an empty string."""
         if self.is_leaving:
             return 'leaving'
-        if not self.holdings.is_ready(work.model, work.adapter):
+        if self.holdings.find_version(work.model, work.adapter) is None:
             return 'not_loaded'
         return 'overloaded' if self.batch.is_full() else ''
 
@@ -202,7 +207,8 @@
             work.fingerprint,
             resume_after=work.resume_after,
         )
-        generation = Generation(work, number)
+        version = self.holdings.find_version(work.model, work.adapter)
+        generation = Generation(work, number, version or '')
         cached = self.prefixes.store(
             work.model, work.prefix, work.prompt_tokens
         )
--- a/cassiarail/standins/engine_api.py
+++ b/cassiarail/standins/engine_api.py
@@ -16,6 +16,8 @@
 from cassiarail.standins.holdings import parse_order
 from cassiarail.standins.work import describe_delta, parse_work
 
+_ANSWER_LOST_SHARE = 0.5
+
 
 class KvBlock(msgspec.Struct):
     """Hold an exported prefix; opaque to everything but engines."""
@@ -172,6 +174,9 @@
         faults = self._environment.faults
         name = self._engine.settings.name
         if faults.draw(FaultName.LOST_ORDERS, name):
+            # Either the order or only its answer is lost.
+            if self._environment.generator.random() < _ANSWER_LOST_SHARE:
+                self._engine.accept_order(order)
             raise answers.BrokenConnectionError('order lost')
         if faults.draw(FaultName.LATE_ORDERS, name):
             await self._environment.clock.sleep(
@@ -213,7 +218,7 @@
             block = msgspec.json.decode(text, type=KvBlock)
         except msgspec.DecodeError:
             return answers.refuse('bad_block', answers.STATUS_BAD_REQUEST)
-        if not self._engine.holdings.is_ready(block.model):
+        if self._engine.holdings.find_version(block.model) is None:
             return answers.refuse('not_loaded')
         self._engine.prefixes.store(block.model, block.prefix, block.tokens)
         return answers.answer_json({'imported': True})
--- a/cassiarail/standins/holdings.py
+++ b/cassiarail/standins/holdings.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple, Protocol
 
+import anyio
 import httpx
 
 from cassiarail.core.clock import Clock
@@ -66,6 +67,17 @@
     error: str = ''
 
 
+class HoldingsHooks(NamedTuple):
+    """Connect the holdings with the rest of their engine.
+
+    ``is_used`` tells whether a request in progress needs a model, version and
+    adapter; ``on_unload`` is called with a model that is gone.
+    """
+
+    is_used: Callable[[str, str, str], bool]
+    on_unload: Callable[[str], None]
+
+
 class WeightFetcher(Protocol):
     """Fetch the weights of a model."""
 
@@ -155,14 +167,15 @@
         records: Records,
         fetch: WeightFetcher,
         adapter_loads: AdapterLoads,
-        is_used: Callable[[str, str], bool],
+        hooks: HoldingsHooks,
     ) -> None:
         self._target = target
         self._clock = clock
         self._records = records
         self._fetch = fetch
         self._adapter_loads = adapter_loads
-        self._is_used = is_used
+        self._hooks = hooks
+        self._scopes: set[anyio.CancelScope] = set()
         self._entries: dict[tuple[str, str, str], Held] = {}
         self.instance = instance
         self.memory_bytes = memory_bytes
@@ -181,14 +194,23 @@
         """Return the memory that is taken."""
         return sum(entry.bytes for entry in self._entries.values())
 
-    def is_ready(self, model: str, adapter: str = '') -> bool:
-        """Tell whether any version of a model and its adapter is ready."""
-        ready = {
-            (entry.model, entry.adapter)
+    def find_version(self, model: str, adapter: str = '') -> str | None:
+        """Return the newest version that is ready with its adapter."""
+        versions = [
+            entry.version
             for entry in self._entries.values()
-            if entry.state == 'ready'
-        }
-        return (model, '') in ready and (model, adapter) in ready
+            if entry.model == model
+            and not entry.adapter
+            and self._is_ready(model, entry.version, '')
+            and self._is_ready(model, entry.version, adapter)
+        ]
+        return versions[-1] if versions else None
+
+    def close(self) -> None:
+        """Stop all orders in progress, as the end of the process does."""
+        self.is_closed = True
+        for scope in self._scopes:
+            scope.cancel()
 
     def place(self, held: Held) -> None:
         """Hold something without an order, as at the start of a scenario."""
@@ -202,10 +224,18 @@
 
     async def execute(self, order: Order) -> None:
         """Execute an accepted order and register its outcome."""
+        with anyio.CancelScope() as scope:
+            self._scopes.add(scope)
+            try:
+                await self._finish(order)
+            finally:
+                self._scopes.discard(scope)
+
+    async def _finish(self, order: Order) -> None:
         error = await self._dispatch(order)
         state = 'failed' if error else 'done'
         self.orders[order.order_id] = OrderState(order.order_id, state, error)
-        if not error and not self.is_closed:
+        if not error:
             self._records.apply_order(
                 self._target,
                 self.instance,
@@ -275,16 +305,22 @@
         ]
         for key in keys:
             self._put(self._entries[key]._replace(state='unloading'))
-        while self._is_used(order.model, order.adapter):
+        while self._hooks.is_used(order.model, order.version, order.adapter):
             await self._clock.sleep(_IN_USE_POLL_S)
         await self._clock.sleep(_UNLOAD_S)
         for key in keys:
             entry = self._entries.get(key)
             if entry is not None and entry.state == 'unloading':
                 self._entries.pop(key)
+        if not order.adapter:
+            self._hooks.on_unload(order.model)
         self._sample()
         return ''
 
+    def _is_ready(self, model: str, version: str, adapter: str) -> bool:
+        entry = self._entries.get((model, version, adapter))
+        return entry is not None and entry.state == 'ready'
+
     def _put(self, entry: Held) -> None:
         self._entries[_key_of(entry)] = entry
 
