--- a/cassiarail/control/configuration.py
+++ b/cassiarail/control/configuration.py
@@ -36,7 +36,7 @@
 CONFIGURATION_NAME = 'current'
 _WATCH_S = 30.0
 _REREAD_S = 60.0
-_ROLE_CHECK_S = 1.0
+_ROLE_CHECK_S = 0.25
 # A change accepted during a lost answer must still be found after many others.
 _RECENT_TOKENS = 32
 _READ_BACK_ATTEMPTS = 6
@@ -140,6 +140,7 @@
         self._listeners: list[ConfigurationListener] = []
         self._history = BundleHistory()
         self._adopted = anyio.Event()
+        self._announce: Callable[[], Awaitable[None]] | None = None
         self.current: ConfigurationDocument | None = None
         self.learned_from_store = False
 
@@ -156,6 +157,10 @@
         """Call a function with each configuration that comes into force."""
         self._listeners.append(listener)
 
+    def set_announcer(self, announce: Callable[[], Awaitable[None]]) -> None:
+        """Call a function when the store gave a newer configuration."""
+        self._announce = announce
+
     def bundle_for(self, generation: int) -> pb.ConfigurationBundle:
         """Return what a peer at a lower generation needs."""
         return self._history.bundle_for(generation)
@@ -225,8 +230,8 @@
         if self._is_watcher():
             await self._watch()
             return
-        self._take(
-            await self._store.read(CONFIGURATION_KIND, CONFIGURATION_NAME)
+        await self._take(
+            await self._store.read(CONFIGURATION_KIND, CONFIGURATION_NAME),
         )
         wait_s = self._generator.uniform(_REREAD_S / 2, _REREAD_S)
         deadline = self._clock.monotonic() + wait_s
@@ -236,7 +241,7 @@
     async def _watch(self) -> None:
         listing = await self._store.list_objects(CONFIGURATION_KIND)
         for stored in listing.entries:
-            self._take(stored)
+            await self._take(stored)
         revision = listing.revision
         while self._is_watcher():
             try:
@@ -248,13 +253,15 @@
             except WatchExpiredError:
                 return
             for changed in batch.entries:
-                self._take(changed)
+                await self._take(changed)
             revision = batch.revision
 
-    def _take(self, stored: StoredObject | None) -> None:
-        if stored is not None and stored.name == CONFIGURATION_NAME:
-            self.learned_from_store = True
-            self._adopt(stored.document)
+    async def _take(self, stored: StoredObject | None) -> None:
+        if stored is None or stored.name != CONFIGURATION_NAME:
+            return
+        self.learned_from_store = True
+        if self._adopt(stored.document) and self._announce is not None:
+            await self._announce()
 
 
 class _Proposal(NamedTuple):
--- a/cassiarail/membership/announcements.py
+++ b/cassiarail/membership/announcements.py
@@ -90,7 +90,7 @@
 
     def relay(self, announcement: pb.Announcement) -> None:
         """Begin to spread the announcement of another node."""
-        announcement.hops += 1
+        announcement.hops = min(announcement.hops + 1, _MAX_HOPS)
         if announcement.hops < _MAX_HOPS:
             self._background.start(self._forward, announcement)
 
@@ -99,7 +99,8 @@
         address: str,
         announcement: pb.Announcement,
     ) -> None:
-        """Send an own announcement to one peer."""
+        """Send an own announcement to one peer, which doesn't forward it."""
+        announcement.hops = _MAX_HOPS
         self._seen.stamp(announcement, self._peers.own.address)
         await self._send(address, announcement)
 
--- a/cassiarail/membership/backends/base.py
+++ b/cassiarail/membership/backends/base.py
@@ -7,8 +7,9 @@
 from cassiarail.membership.protos import peers_pb2 as pb
 
 # Bytes of HTTP/2 frames and compressed headers in each direction of one call
-# on an open connection.
-CALL_OVERHEAD_BYTES = 64
+# on an open connection; tests/membership/test_grpc.py compares it with the
+# bytes on the wire.
+CALL_OVERHEAD_BYTES = 36
 
 
 class Traffic:
@@ -18,11 +19,13 @@
         self.sent: collections.Counter[str] = collections.Counter()
         self.received: collections.Counter[str] = collections.Counter()
         self.calls: collections.Counter[str] = collections.Counter()
+        self.largest = 0
 
     def count_sent(self, kind: str, size: int) -> None:
         """Count one sent message and its call overhead."""
         self.calls[kind] += 1
         self.sent[kind] += size + CALL_OVERHEAD_BYTES
+        self.largest = max(self.largest, size)
 
     def count_received(self, kind: str, size: int) -> None:
         """Count one received message and its call overhead."""
--- a/cassiarail/membership/backends/codec.py
+++ b/cassiarail/membership/backends/codec.py
@@ -2,7 +2,7 @@
 
 Each message carries its time and an HMAC of type, time and body. The MAC is
 part of the message instead of the metadata because answers and the messages of
-a stream have no metadata of their own, and because it takes 24 bytes there
+a stream have no metadata of their own, and because it takes 20 bytes there
 where a header takes over 100.
 """
 
@@ -17,9 +17,8 @@
 
 MAX_MESSAGE_BYTES = 1_500_000
 _MAC_BYTES = 16
-_TIME_BYTES = 8
+_TIME_BYTES = 4
 _HEAD_BYTES = _MAC_BYTES + _TIME_BYTES
-_MILLISECONDS = 1000
 # Clocks of hosts are synchronised to far less; a replay inside the window is
 # harmless because all messages are idempotent.
 _WINDOW_S = 30
@@ -40,7 +39,7 @@
         """Take the shared secret of the deployment."""
         self._secret = secret
         self._clock = clock
-        self._window_ms = window_s * _MILLISECONDS
+        self._window_s = window_s
         self._max_bytes = max_bytes
 
     def encode(self, message: Message, message_type: Any) -> bytes:
@@ -48,7 +47,7 @@
         body = message.SerializeToString()
         if len(body) > self._max_bytes:
             raise PeerRejectedError(f'message of {len(body)} bytes is too long')
-        stamp = self._now_ms().to_bytes(_TIME_BYTES, 'big')
+        stamp = self._now().to_bytes(_TIME_BYTES, 'big')
         return self._sign(message_type, stamp, body) + stamp + body
 
     def decode(self, frame: bytes, message_type: Any) -> Any:
@@ -60,16 +59,16 @@
         expected = self._sign(message_type, stamp, body)
         if not hmac.compare_digest(expected, frame[:_MAC_BYTES]):
             raise PeerRejectedError('message has a wrong signature')
-        sent_ms = int.from_bytes(stamp, 'big')
-        if abs(self._now_ms() - sent_ms) > self._window_ms:
+        sent_at = int.from_bytes(stamp, 'big')
+        if abs(self._now() - sent_at) > self._window_s:
             raise PeerRejectedError('message is outside the time window')
         try:
             return message_type.FromString(body)
         except DecodeError as error:
             raise PeerRejectedError('message is malformed') from error
 
-    def _now_ms(self) -> int:
-        return int(self._clock.now().timestamp() * _MILLISECONDS)
+    def _now(self) -> int:
+        return int(self._clock.now().timestamp())
 
     def _sign(self, message_type: Any, stamp: bytes, body: bytes) -> bytes:
         name = message_type.DESCRIPTOR.full_name.encode()
--- a/cassiarail/membership/backends/grpc.py
+++ b/cassiarail/membership/backends/grpc.py
@@ -1,5 +1,6 @@
 """Carry peer messages over gRPC."""
 
+import socket
 import ssl
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, TypeVar
@@ -142,21 +143,34 @@
     ) -> None:
         """Take the services that answer."""
         self.traffic = Traffic()
+        self.port = 0
+        self._stopped = False
         self._tls = tls
         self._server = Server(
-            [_PeersAdapter(peers), _FeedAdapter(feed)],
+            [_PeersAdapter(peers, self), _FeedAdapter(feed, self)],
             codec=_ServerCodec(codec, self.traffic),
         )
 
     async def start(self, host: str, port: int) -> None:
-        """Listen on an address."""
-        await self._server.start(host, port, ssl=self._tls)
+        """Listen on an address; port 0 lets the system choose ``port``."""
+        listener = socket.create_server((host, port))
+        self.port = listener.getsockname()[1]
+        await self._server.start(sock=listener, ssl=self._tls)
 
     async def stop(self) -> None:
-        """Close all connections and wait for the calls in progress."""
+        """Cancel the calls in progress and refuse further ones.
+
+        grpclib keeps connections open after its server was closed.
+        """
+        self._stopped = True
         self._server.close()
         await self._server.wait_closed()
 
+    def require_running(self) -> None:
+        """Refuse a call with a status after ``stop``."""
+        if self._stopped:
+            raise GRPCError(Status.UNAVAILABLE, 'the controller has stopped')
+
 
 class CountingCodec(SignedCodec):
     """Count the bytes that another codec produces and reads."""
@@ -193,26 +207,32 @@
 
 
 class _PeersAdapter(PeersBase):
-    def __init__(self, peers: PeerService) -> None:
+    def __init__(self, peers: PeerService, server: GrpcPeerServer) -> None:
         self._peers = peers
+        self._server = server
 
     async def Exchange(self, stream: Any) -> None:
+        self._server.require_running()
         await _answer(stream, self._peers.handle_exchange)
 
     async def Announce(self, stream: Any) -> None:
+        self._server.require_running()
         await _answer(stream, self._peers.handle_announcement)
 
 
 class _FeedAdapter(FeedBase):
-    def __init__(self, feed: FeedService) -> None:
+    def __init__(self, feed: FeedService, server: GrpcPeerServer) -> None:
         self._feed = feed
+        self._server = server
 
     async def Subscribe(self, stream: Any) -> None:
+        self._server.require_running()
         request = await stream.recv_message()
         async for update in self._feed.subscribe(request):
             await stream.send_message(update)
 
     async def Report(self, stream: Any) -> None:
+        self._server.require_running()
         await _answer(stream, self._feed.handle_report)
 
 
--- a/cassiarail/membership/digest.py
+++ b/cassiarail/membership/digest.py
@@ -57,15 +57,15 @@
         self._fingerprints = fingerprints
         self._links: dict[str, Link] = {}
 
-    def build(self, address: str) -> pb.Digest:
-        """Return the digest for a peer."""
+    def build(self, address: str, generation: int) -> pb.Digest:
+        """Return the digest for a peer, with the generation in force."""
         own = self._peers.own
         link = self._links.setdefault(address, Link())
         digest = pb.Digest(
             address=own.address,
             incarnation=own.incarnation,
             heartbeat=own.heartbeat,
-            generation=own.generation,
+            generation=generation,
             revision=self._revisions.latest,
             acknowledged=link.seen_revision,
             acknowledged_incarnation=link.seen_incarnation,
@@ -114,7 +114,9 @@
         for peer in self._peers.peers.values():
             if peer.identity_revision > after and peer.address != address:
                 changes.append(_make_identity(peer))
-            elif peer.heartbeat_revision > after and peer.source != address:
+            elif (
+                peer.heartbeat_revision > after and address not in peer.holders
+            ):
                 changes.append(_make_heartbeat(peer))
         for entry in self._targets.entries.values():
             changes.extend(self._list_target_changes(entry, after, address))
@@ -131,11 +133,14 @@
         address: str,
     ) -> list[_Change]:
         changes = []
-        if entry.profile_revision > after and entry.profile_source != address:
+        if (
+            entry.profile_revision > after
+            and address not in entry.profile_holders
+        ):
             changes.append(
                 _Change(entry.profile_revision, _AppendProfile(entry)),
             )
-        if entry.load_revision > after and entry.load_source != address:
+        if entry.load_revision > after and address not in entry.load_holders:
             changes.append(
                 _Change(
                     entry.load_revision,
@@ -155,11 +160,11 @@
             columns.members,
             columns.heartbeats,
             columns.tags,
-            columns.generations,
+            columns.behind,
             strict=False,
         )
         complete = True
-        for key, heartbeat, tag, generation in rows:
+        for key, heartbeat, tag, behind in rows:
             peer = self._peers.by_key.get(key)
             if peer is None:
                 complete = False
@@ -168,7 +173,7 @@
                     peer.address,
                     peer.incarnation,
                     heartbeat,
-                    generation,
+                    digest.generation - behind,
                 )
                 self._peers.observe(news, source)
         return complete
@@ -228,7 +233,7 @@
         columns.members.append(self._peer.key)
         columns.heartbeats.append(self._peer.heartbeat)
         columns.tags.append(self._peer.incarnation & _TAG_MASK)
-        columns.generations.append(self._peer.generation)
+        columns.behind.append(digest.generation - self._peer.generation)
 
 
 class _AppendProfile:
--- a/cassiarail/membership/exchange.py
+++ b/cassiarail/membership/exchange.py
@@ -22,7 +22,6 @@
 # A member that isn't live is tried this often, which joins new hosts and
 # heals partitions.
 _PROBE_S = 2.0
-_FAILURES_TO_SUSPECT = 2
 _MILLISECONDS = 1000
 # Larger bundles are fetched by those that lack them instead of being flooded.
 _MAX_FLOODED_BYTES = 16_384
@@ -76,7 +75,6 @@
             self._generator,
             self._note_failure,
         )
-        self._failures: dict[str, int] = {}
         self._probed_at = float(0)
         self.changed = anyio.Event()
 
@@ -96,7 +94,7 @@
     async def handle_exchange(self, digest: pb.Digest) -> pb.Digest:
         """Merge the digest of a peer and return the own one."""
         self._merge(digest)
-        answer = self._digests.build(digest.address)
+        answer = self._build(digest.address)
         if digest.generation < self._configuration.generation:
             bundle = self._configuration.bundle_for(digest.generation)
             answer.configuration.CopyFrom(bundle)
@@ -155,7 +153,7 @@
         while True:
             started_at = self._clock.monotonic()
             generation = self._configuration.generation
-            is_due = started_at - beaten_at >= HEARTBEAT_S
+            is_due = started_at - beaten_at > HEARTBEAT_S - EXCHANGE_S / 2
             if is_due or generation != self.peers.own.generation:
                 self.peers.beat(generation)
                 beaten_at = started_at
@@ -180,28 +178,32 @@
         try:
             answer = await self._transport.exchange(
                 address,
-                self._digests.build(address),
+                self._build(address),
             )
         except PeerError:
             self._note_failure(address)
             return
-        self._failures.pop(address, None)
         self._merge(answer)
         if answer.generation < self._configuration.generation:
             bundle = self._configuration.bundle_for(answer.generation)
             announcement = pb.Announcement(configuration=bundle)
             await self._announcer.send_to(address, announcement)
 
+    def _build(self, address: str) -> pb.Digest:
+        return self._digests.build(address, self._configuration.generation)
+
     def _note_failure(self, address: str) -> None:
-        failures = self._failures.get(address, 0) + 1
-        self._failures[address] = failures
+        """Suspect a peer at its first failure; one that lives refutes it.
+
+        A target whose first poller died must get another within 3 s, which
+        leaves no time for a second try.
+        """
         peer = self.peers.peers.get(address)
-        if peer is None or failures < _FAILURES_TO_SUSPECT:
+        if peer is None:
             return
         if self.peers.suspect(address, peer.incarnation, peer.heartbeat):
-            self._announcer.announce(
-                pb.Announcement(suspicion=write_member(peer))
-            )
+            suspicion = write_member(peer)
+            self._announcer.announce(pb.Announcement(suspicion=suspicion))
 
     def _merge(self, digest: pb.Digest) -> None:
         self._digests.merge(digest)
--- a/cassiarail/membership/peers.py
+++ b/cassiarail/membership/peers.py
@@ -15,11 +15,11 @@
 )
 from cassiarail.membership.revisions import Revisions, hash_name
 
-# Heartbeats advance every 5 s and take up to 5 s to arrive everywhere; a
+# Heartbeats advance every 6 s and take up to 6 s to arrive everywhere; a
 # neighbour that fails to answer is suspected at once by announcement.
-HEARTBEAT_S = 5.0
-SUSPECT_AFTER_S = 15.0
-REMOVE_AFTER_S = 30.0
+HEARTBEAT_S = 6.0
+SUSPECT_AFTER_S = 18.0
+REMOVE_AFTER_S = 36.0
 _FORGET_AFTER_S = 600.0
 _WATCHERS = 2
 _LAST_HEARTBEAT = 0xFFFFFFFF
@@ -48,10 +48,10 @@
         self.heard_at = heard_at
         self.suspected = False
         # The revisions of the last change of identity and of heartbeat, and
-        # the neighbour that told of it.
+        # the neighbours that hold this heartbeat.
         self.identity_revision = 0
         self.heartbeat_revision = 0
-        self.source = ''
+        self.holders: set[str] = set()
 
 
 class PeerTable:
@@ -84,6 +84,7 @@
         self.own.generation = generation
         self.own.heard_at = self._clock.monotonic()
         self.own.heartbeat_revision = self._revisions.advance()
+        self.own.holders = set()
 
     def observe(self, news: MemberNews, source: str) -> bool:
         """Merge news of a member; tell whether they were new."""
@@ -96,7 +97,10 @@
             self._add(news, source)
             return True
         known = (peer.incarnation, peer.heartbeat)
-        if (news.incarnation, news.heartbeat) <= known:
+        told = (news.incarnation, news.heartbeat)
+        if told <= known:
+            if told == known:
+                peer.holders.add(source)
             return False
         if news.incarnation > peer.incarnation:
             peer.incarnation = news.incarnation
@@ -104,7 +108,7 @@
         peer.heartbeat = news.heartbeat
         peer.generation = news.generation
         peer.heartbeat_revision = self._revisions.advance()
-        peer.source = source
+        peer.holders = {source}
         self._revive(peer)
         return True
 
@@ -175,16 +179,23 @@
         return self.own.address in self.list_live()[:_WATCHERS]
 
     def list_neighbours(self) -> list[str]:
-        """Return the next member on the ring and a random one.
+        """Return the members that this node calls each second.
 
-        The previous one on the ring calls this node, so that each node has
-        exchanges with three neighbours or more, and begins two of them.
+        These are the next one on the ring and, for every other member, a
+        random one. Each node then has exchanges with three neighbours on
+        average; every further link would carry all news once more.
         """
         live = self.list_live()
         position = live.index(self.own.address)
         following = live[(position + 1) % len(live)]
-        chosen = dict.fromkeys((following, self._choose_random(live)))
-        return [address for address in chosen if address != self.own.address]
+        chosen = [following]
+        if position % 2 == 0:
+            chosen.append(self._choose_random(live, self.list_ring()))
+        return [
+            address
+            for address in dict.fromkeys(chosen)
+            if address != self.own.address
+        ]
 
     def list_ring(self) -> list[str]:
         """Return both neighbours on the ring."""
@@ -221,7 +232,7 @@
 
     def _add(self, news: MemberNews, source: str) -> None:
         peer = Peer(news, self._clock.monotonic())
-        peer.source = source
+        peer.holders = {source}
         peer.identity_revision = self._revisions.advance()
         peer.heartbeat_revision = peer.identity_revision
         self.peers[news.address] = peer
@@ -235,11 +246,15 @@
             peer.suspected = False
             emit_event(PEER_REFUTED, peer=peer.address)
 
-    def _choose_random(self, live: list[str]) -> str:
+    def _choose_random(self, live: list[str], ring: list[str]) -> str:
+        """Return the present random neighbour, or choose another one."""
+        near = {self.own.address, *ring}
+        others = [address for address in live if address not in near]
+        if not others:
+            return self.own.address
         now = self._clock.monotonic()
-        outdated = now > self._random_until
-        if outdated or self._random_neighbour not in live:
-            self._random_neighbour = self._generator.choice(live)
+        if now > self._random_until or self._random_neighbour not in others:
+            self._random_neighbour = self._generator.choice(others)
             self._random_until = now + self._generator.uniform(
                 _RANDOM_NEIGHBOUR_S / 2,
                 _RANDOM_NEIGHBOUR_S,
--- a/cassiarail/membership/polling.py
+++ b/cassiarail/membership/polling.py
@@ -13,9 +13,10 @@
 
 _POLL_S = 1.0
 _POLL_TIMEOUT_S = 0.9
-# The second controller by rank polls every other second. It covers the time
-# until the loss of the first is known.
-_SECOND_RANK_TICKS = 2
+_POLLERS = 2
+# The second controller by rank polls every fifth second. It covers a first
+# one that can reach its peers but not the target.
+_SECOND_POLLER_TICKS = 5
 _PHASES = 1000
 
 
@@ -55,7 +56,8 @@
         return [
             target
             for target, rank in self._ranks.items()
-            if (tick + hash_name(target)) % (rank + 1) == 0
+            if rank == 0
+            or (tick + hash_name(target)) % _SECOND_POLLER_TICKS == 0
         ]
 
     def _update_ranks(self) -> None:
@@ -67,7 +69,7 @@
         self._ranks = {}
         for target in targets:
             rank = _find_rank(target, live, self._node.address)
-            if rank < _SECOND_RANK_TICKS:
+            if rank < _POLLERS:
                 self._ranks[target] = rank
 
     async def _poll(self, target: str) -> None:
--- a/cassiarail/membership/targets.py
+++ b/cassiarail/membership/targets.py
@@ -21,10 +21,12 @@
 # the interval. Gateways correct reports by what they sent since.
 _NOTICEABLE_SHARE = 8
 _SPREAD_S = 10.0
-# Even large changes of one target are spread at most this often.
-_SPREAD_MIN_S = 2.0
-_SHARE_STEPS = 255
-_NOTICEABLE_KV_STEPS = 32
+# All targets of a data centre together spread at most this many reports a
+# second, apart from very large changes. It bounds the bytes of every node.
+_SPREADS_PER_S = 18
+_LARGE_SHARE = 2
+_SHARE_STEPS = 127
+_NOTICEABLE_KV_STEPS = 16
 _MIB = 1024 * 1024
 _TENTHS = 10
 _FORGET_AFTER_S = 600.0
@@ -39,7 +41,7 @@
 
 
 class Load(NamedTuple):
-    """Hold the numbers of one report; ``kv_share`` is in 255ths."""
+    """Hold the numbers of one report; ``kv_share`` is in 127ths."""
 
     sequence: int = 0
     running: int = 0
@@ -56,12 +58,13 @@
         self.key = hash_name(name)
         self.profile = pb.TargetProfile(name=name)
         self.profile_revision = 0
-        self.profile_source = ''
+        self.profile_holders: set[str] = set()
         self.changed_at = now
         self.load = Load()
         self.spread = Load()
         self.load_revision = 0
-        self.load_source = ''
+        # The neighbours that hold the load spread last.
+        self.load_holders: set[str] = set()
 
 
 class TargetTable:
@@ -90,6 +93,7 @@
                 # The answer is older than the change that is already known.
                 return TargetChange.NONE
             entry.load = Load()
+            entry.spread = Load()
         if profile != entry.profile:
             change = self._replace(entry, profile, '')
         self._observe_load(entry, observation)
@@ -113,7 +117,9 @@
             merged.leaving = profile.leaving or known.leaving
         else:
             entry.load = Load()
+            entry.spread = Load()
         if merged == known:
+            entry.profile_holders.add(source)
             return TargetChange.NONE
         return self._replace(entry, merged, source)
 
@@ -137,14 +143,26 @@
                 complete = False
                 continue
             load = _read_load(numbers, now)
-            is_newer = load.sequence > entry.load.sequence
-            if epoch == entry.profile.epoch and is_newer:
-                self._spread(entry, load, source)
+            if epoch == entry.profile.epoch:
+                self._merge_load(entry, load, source)
         return complete
 
+    def _merge_load(
+        self,
+        entry: TargetEntry,
+        load: Load,
+        source: str,
+    ) -> None:
+        if load.sequence > entry.spread.sequence:
+            self._spread(entry, load, source)
+            if load.sequence > entry.load.sequence:
+                entry.load = load
+        elif load.sequence == entry.spread.sequence:
+            entry.load_holders.add(source)
+
     def append_load(self, columns: pb.LoadColumns, entry: TargetEntry) -> None:
         """Add the load of a target to the columns of a digest."""
-        load = entry.load
+        load = entry.spread
         age = max(0, self._clock.monotonic() - load.polled_at)
         columns.targets.append(entry.key)
         columns.epochs.append(entry.profile.epoch)
@@ -199,7 +217,7 @@
         is_leaving = profile.leaving and not known.leaving
         entry.profile = profile
         entry.profile_revision = self._revisions.advance()
-        entry.profile_source = source
+        entry.profile_holders = {source}
         entry.changed_at = self._clock.monotonic()
         if is_leaving:
             emit_event(TARGET_LEAVING, target=entry.name)
@@ -224,14 +242,13 @@
             kv_share=observation.kv_used_bytes * _SHARE_STEPS // total,
             polled_at=self._clock.monotonic(),
         )
-        if _is_noticeable(entry):
+        if _is_noticeable(entry, len(self.entries) / _SPREADS_PER_S):
             self._spread(entry, entry.load, '')
 
     def _spread(self, entry: TargetEntry, load: Load, source: str) -> None:
-        entry.load = load
         entry.spread = load
         entry.load_revision = self._revisions.advance()
-        entry.load_source = source
+        entry.load_holders = {source}
 
 
 def _read_load(numbers: Sequence[int], now: float) -> Load:
@@ -265,17 +282,20 @@
     return (profile.epoch, profile.instance, profile.minor)
 
 
-def _is_noticeable(entry: TargetEntry) -> bool:
+def _is_noticeable(entry: TargetEntry, interval_s: float) -> bool:
     """Tell whether a load differs enough from the one spread last."""
     age = entry.load.polled_at - entry.spread.polled_at
-    if age >= _SPREAD_S or not entry.spread.sequence:
+    if age >= max(_SPREAD_S, interval_s) or not entry.spread.sequence:
         return True
-    if age < _SPREAD_MIN_S:
-        return False
     work = entry.load.running + entry.load.queued
     spread_work = entry.spread.running + entry.spread.queued
+    difference = abs(work - spread_work)
+    if difference >= max(1, entry.profile.batch_max // _LARGE_SHARE):
+        return True
+    if age < interval_s:
+        return False
     step = max(1, entry.profile.batch_max // _NOTICEABLE_SHARE)
     kv_difference = abs(entry.load.kv_share - entry.spread.kv_share)
-    if abs(work - spread_work) >= step or kv_difference >= _NOTICEABLE_KV_STEPS:
+    if difference >= step or kv_difference >= _NOTICEABLE_KV_STEPS:
         return True
     return (work == 0) != (spread_work == 0)
