Tell a cut answer from one that is broken

Change: such streams are cut; callers resend them, and without a whole answer they count as uncertain. Missing or repeated tokens before [DONE] stay broken.

--- /dev/null
+++ b/cassiarail/commands/demo.py
@@ -0,0 +1,106 @@
+"""Define the program ``cassiarail-demo``."""
+
+import pathlib
+import resource
+import sys
+import time
+from typing import Annotated
+
+import typer
+from absl import logging
+
+from cassiarail.commands.options import EXIT_FAILED, VersionOption
+from cassiarail.load.report import ReportDocument, write_report
+from cassiarail.standins.faults import FaultName
+from cassiarail.testbed.runner import RunResult, RunSettings, run_on_loopback
+
+program = typer.Typer(add_completion=False)
+_DEFAULT_FOLDER = pathlib.Path('examples/salines')
+_DEFAULT_REPORT = pathlib.Path('out/demo.json')
+_KIBIBYTE = 1024
+
+
+@program.command()
+def run(
+    folder: Annotated[
+        pathlib.Path,
+        typer.Option('--declarations', help='Folder of declarations.'),
+    ] = _DEFAULT_FOLDER,
+    report: Annotated[
+        pathlib.Path,
+        typer.Option(help='Report to write.'),
+    ] = _DEFAULT_REPORT,
+    seed: Annotated[int, typer.Option(help='Seed of load and faults.')] = 1,
+    seconds: Annotated[float, typer.Option(help='Duration of load.')] = 24,
+    rate: Annotated[float, typer.Option(help='Requests a second.')] = 40,
+    faults: Annotated[int, typer.Option(help='Number of faults.')] = 12,
+    break_promise: Annotated[
+        FaultName | None,
+        typer.Option(help='Test switch: a deliberate breakage.'),
+    ] = None,
+    version: VersionOption = False,
+) -> None:
+    """Run a deployment with bursts and faults; exit 1 on a broken promise."""
+    logging.set_verbosity(logging.FATAL)
+    settings = RunSettings(
+        folder,
+        seed,
+        seconds,
+        rate,
+        faults=faults,
+        breakages=(break_promise,) if break_promise else (),
+    )
+    started_at = time.process_time()
+    outcome = run_on_loopback(settings)
+    measured = _add_usage(
+        outcome.report,
+        time.process_time() - started_at,
+        seconds,
+    )
+    write_report(report, measured)
+    _print_report(outcome._replace(report=measured), report)
+    if outcome.violations:
+        raise typer.Exit(EXIT_FAILED)
+
+
+def _add_usage(
+    report: ReportDocument,
+    cpu_s: float,
+    seconds: float,
+) -> ReportDocument:
+    """Add upper bounds of control's processor time and memory.
+
+    All parts share one process here, so its whole usage is the bound.
+    """
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    report['control_cpu_share_per_node'] = min(1, cpu_s / seconds)
+    report['control_rss_bytes_per_node'] = usage.ru_maxrss * _KIBIBYTE
+    return report
+
+
+def _print_report(outcome: RunResult, path: pathlib.Path) -> None:
+    report = outcome.report
+    lines = (
+        f'requests          {report["requests"]}',
+        f'  answered        {report["answered"]}',
+        f'  refused         {report["refused_not_run"]} (not run)',
+        f'  uncertain       {report["uncertain"]}',
+        f'first token p95   {report["first_token_seconds_p95"]:.3f} s',
+        f'between tokens    {report["inter_token_seconds_p95"]:.3f} s (p95)',
+        f'attainment        {report["attainment"]:.3f}',
+        f'moves             {report["moves"]}',
+        f'faults            {", ".join(report["faults"])}',
+        f'report            {path}',
+    )
+    for line in lines:
+        typer.echo(line)
+    for name in outcome.violations:
+        typer.echo(f'promise broken: {name}', err=True)
+    if not outcome.violations:
+        typer.echo('all promises held')
+    sys.stdout.flush()
+
+
+def main() -> None:
+    """Run the program."""
+    program()
--- a/cassiarail/load/checking.py
+++ b/cassiarail/load/checking.py
@@ -58,9 +58,12 @@
             self._feed_event(rest, now)
 
     def end_stream(self) -> None:
-        """Note the end of a stream; one without ``[DONE]`` is broken."""
+        """Note the end of a stream; one without ``[DONE]`` was cut.
+
+        The caller of a cut stream knows that it isn't whole and may resend.
+        """
         if not self.is_complete and self.fault is AnswerFault.NONE:
-            self.fault = AnswerFault.BROKEN
+            self.fault = AnswerFault.CUT
 
     def check_whole(self, document: Any, now: float) -> None:
         """Check an answer that was not streamed."""
--- a/cassiarail/load/client.py
+++ b/cassiarail/load/client.py
@@ -28,6 +28,8 @@
 _MARGIN_S = 2
 _MILLISECONDS = 1000
 _JITTER = (0.5, 1.5)
+# A caller can see that a cut answer isn't whole.
+_RESENDABLE = frozenset((AnswerFault.NONE, AnswerFault.CUT))
 
 
 class LoadClient:
@@ -90,7 +92,7 @@
 
     def _may_resend(self, attempts: list[Attempt]) -> bool:
         last = attempts[-1]
-        if last.is_complete or last.fault is not AnswerFault.NONE:
+        if last.is_complete or last.fault not in _RESENDABLE:
             return False
         if last.error_code == QUARANTINED:
             return False
--- a/cassiarail/load/outcomes.py
+++ b/cassiarail/load/outcomes.py
@@ -10,9 +10,14 @@
 
 
 class AnswerFault(enum.Enum):
-    """Name what can be wrong with an answer that began."""
+    """Name what can be wrong with an answer that began.
+
+    ``CUT`` means that the answer ended without being shown as whole;
+    ``BROKEN`` that a partial or repeated one was.
+    """
 
     NONE = 'none'
+    CUT = 'cut'
     BROKEN = 'broken'
     MISDELIVERED = 'misdelivered'
 
