--- /dev/null
+++ b/cassiarail/gateway/server.py
@@ -0,0 +1,174 @@
+"""Serve ASGI applications on TCP with hypercorn."""
+
+import http
+import socket
+import ssl
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple, cast
+
+import anyio
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    generate_latest,
+)
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import Route
+
+from cassiarail.core.exceptions import SettingsError
+from cassiarail.core.lifecycle import Component
+from cassiarail.security.tls import TlsFiles
+
+ReadinessProbe = Callable[[], bool]
+_BACKLOG = 1024
+_GRACE_S = 3
+_KEEP_ALIVE_S = 75
+_KEEP_ALIVE_REQUESTS = 100_000
+
+
+class ListenerSettings(NamedTuple):
+    """Hold the address of a listener; port 0 takes a free one."""
+
+    host: str
+    port: int
+    tls: TlsFiles | None = None
+    header_bytes: int = 16_384
+
+
+class Listener(Component):
+    """Serve one ASGI application at one address."""
+
+    def __init__(
+        self,
+        name: str,
+        asgi: Starlette,
+        settings: ListenerSettings,
+    ) -> None:
+        self.name = name
+        self.port = settings.port
+        self._asgi = asgi
+        self._settings = settings
+        self._descriptor: int | None = None
+        self._stopping = anyio.Event()
+
+    async def start(self) -> None:
+        """Bind the address, so that a taken port is reported at once."""
+        self._descriptor = self._bind()
+
+    async def run(self) -> None:
+        """Accept connections until the drain."""
+        if self._descriptor is None:
+            self._descriptor = self._bind()
+        config = self._configure(self._descriptor)
+        # The server owns and closes the socket; a restart binds again.
+        self._descriptor = None
+        await serve(
+            cast(Any, self._asgi),
+            config,
+            shutdown_trigger=cast(
+                Callable[..., Awaitable[None]],
+                self._stopping.wait,
+            ),
+        )
+
+    async def drain(self) -> None:
+        """Stop accepting; the requests were finished before."""
+        self._stopping.set()
+
+    async def stop(self) -> None:
+        """Release an address that was never served."""
+        self._stopping.set()
+        if self._descriptor is not None:
+            socket.close(self._descriptor)
+            self._descriptor = None
+
+    def _bind(self) -> int:
+        """Return the descriptor of a listening socket."""
+        family = (
+            socket.AF_INET6 if ':' in self._settings.host else socket.AF_INET
+        )
+        listening = socket.socket(family, socket.SOCK_STREAM)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listening.bind((self._settings.host, self.port))
+        except OSError as error:
+            listening.close()
+            raise SettingsError(
+                f'{self.name} cannot listen at'
+                f' {self._settings.host}:{self.port}: {error}',
+            ) from error
+        listening.listen(_BACKLOG)
+        listening.setblocking(False)  # noqa: WPS425 - positional only
+        self.port = listening.getsockname()[1]
+        return listening.detach()
+
+    def _configure(self, descriptor: int) -> Config:
+        config = Config()
+        config.bind = [f'fd://{descriptor}']
+        config.backlog = _BACKLOG
+        config.alpn_protocols = ['http/1.1']
+        config.graceful_timeout = _GRACE_S
+        config.h11_max_incomplete_size = self._settings.header_bytes
+        config.include_server_header = False
+        config.keep_alive_timeout = _KEEP_ALIVE_S
+        config.keep_alive_max_requests = _KEEP_ALIVE_REQUESTS
+        config.errorlog = None
+        tls = self._settings.tls
+        if tls is not None:
+            config.certfile = tls.certificate_file
+            config.keyfile = tls.key_file
+            if tls.authority_file is not None:
+                config.ca_certs = tls.authority_file
+                config.verify_mode = ssl.CERT_REQUIRED
+        return config
+
+
+class OperatorsEndpoints:
+    """Answer the health, readiness and metrics of a process."""
+
+    def __init__(
+        self,
+        is_ready: ReadinessProbe,
+        registry: CollectorRegistry,
+    ) -> None:
+        self._is_ready = is_ready
+        self._registry = registry
+
+    async def report_health(self, request: Request) -> Response:
+        """Tell that the process runs."""
+        return PlainTextResponse('ok\n')
+
+    async def report_readiness(self, request: Request) -> Response:
+        """Tell whether the process takes new work."""
+        if self._is_ready():
+            return PlainTextResponse('ready\n')
+        return PlainTextResponse(
+            'not ready\n',
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+        )
+
+    async def report_metrics(self, request: Request) -> Response:
+        """Give all metrics in the text format of Prometheus."""
+        return Response(
+            generate_latest(self._registry),
+            media_type=CONTENT_TYPE_LATEST,
+        )
+
+
+def build_operators_asgi(
+    is_ready: ReadinessProbe,
+    registry: CollectorRegistry,
+) -> Starlette:
+    """Return the application of the operators' listener."""
+    endpoints = OperatorsEndpoints(is_ready, registry)
+    return Starlette(
+        routes=[
+            Route('/healthz', endpoints.report_health),
+            Route('/readyz', endpoints.report_readiness),
+            Route('/metrics', endpoints.report_metrics),
+        ],
+    )
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -22,12 +22,13 @@
     ``(2, 'repeat')``, ``(1, 'gap')``, ``(1, 'error')`` or ``(1, 'early')``.
     """
 
-    def __init__(self, name, faults=(), words=WORDS, keeps=True):
+    def __init__(self, name, faults=(), words=WORDS, keeps=True, pause_s=1):
         self.name = name
         self.address = f'{name}.test:80'
         self.faults = list(faults)
         self.words = words
         self.keeps = keeps
+        self.pause_s = pause_s
         self.requests = []
         self.cancelled = []
         self.headers = []
@@ -61,7 +62,7 @@
                 if fault[1] not in {'repeat', 'gap'}:
                     return
             await self._send_token(send, index)
-            await anyio.sleep(1)
+            await anyio.sleep(self.pause_s)
         await _send_block(send, b'data: [DONE]\n\n', more=False)
 
     async def _fail(self, send, index, kind):
@@ -113,6 +114,7 @@
         if fault == 'break-before':
             raise ConnectionResetError
         self.ran.append((scope['method'], scope['path'], body))
+        self.note_run(dict(scope['headers']))
         if fault == 'break-after':
             raise ConnectionResetError
         if fault == 'hang':
@@ -120,46 +122,72 @@
         status = 503 if fault == 'fail' else 201
         await _answer(send, status, b'{"filed":true}')
 
+    def note_run(self, headers):
+        """Let a subclass record more of a run."""
+
 
 class FakeStore(ObjectStore):
     """Keep objects in memory; lose answers and go out on request.
 
-    ``faults`` holds for each call in turn: ``''``, ``'out'``, ``'lost'``
-    (the write took effect) or ``'lost-before'`` (it did not).
+    ``faults`` holds for each call in turn: ``''``, ``'out'``, ``'slow'``,
+    ``'lost'`` (the write took effect), ``'lost-before'`` (it did not) or
+    ``'late'`` (it does so at ``deliver_late``, if its condition holds then).
     """
 
     def __init__(self, faults=()):
         self.kept = {}
         self.faults = list(faults)
+        self.late = []
         self.is_out = False
         self.calls = 0
         self._version = 0
 
-    def _next_fault(self):
+    def deliver_late(self):
+        """Apply the writes that were under way, each once."""
+        held, self.late = self.late, []
+        for name, version, document in held:
+            found = self.kept.get(name)
+            if version == (found.version if found else None):
+                self._put(*name, document, '')
+
+    async def _pause(self):
+        await anyio.lowlevel.checkpoint()
+        if self.faults and self.faults[0] == 'slow':
+            self.faults.pop(0)
+            await anyio.sleep(3)
+
+    def _next_fault(self, *write):
+        """Raise the next fault; an unavailable store takes no write."""
         self.calls += 1
         fault = self.faults.pop(0) if self.faults else ''
         if self.is_out or fault == 'out':
             raise StoreUnavailableError('out')
-        if fault == 'lost-before':
+        if fault == 'late' and write:
+            self.late.append(write)
+        if fault in {'late', 'lost-before'}:
             raise StoreOutcomeUnknownError('lost')
         return fault
 
     async def read(self, kind, name):
-        await anyio.lowlevel.checkpoint()
-        if self._next_fault():
+        await self._pause()
+        try:
+            fault = self._next_fault()
+        except StoreOutcomeUnknownError:
+            fault = 'lost'
+        if fault:
             raise StoreUnavailableError('out')
         return self.kept.get((kind, name))
 
     async def create(self, kind, name, document):
-        await anyio.lowlevel.checkpoint()
-        fault = self._next_fault()
+        await self._pause()
+        fault = self._next_fault((kind, name), None, dict(document))
         if (kind, name) in self.kept:
             raise VersionConflictError('exists')
         return self._put(kind, name, document, fault)
 
     async def replace(self, kind, name, document, version):
-        await anyio.lowlevel.checkpoint()
-        fault = self._next_fault()
+        await self._pause()
+        fault = self._next_fault((kind, name), version, dict(document))
         found = self.kept.get((kind, name))
         if found is None or found.version != version:
             raise VersionConflictError('changed')
--- /dev/null
+++ b/tests/gateway/test_server.py
@@ -0,0 +1,129 @@
+"""Guard the listeners against ports that are taken and stops that hang."""
+
+import contextlib
+import random
+
+import anyio
+import httpx
+import pytest
+from opentelemetry import trace
+from prometheus_client import CollectorRegistry
+
+from cassiarail.core.clock import LoopClock
+from cassiarail.core.exceptions import SettingsError
+from cassiarail.core.lifecycle import Application
+from cassiarail.core.loops import run_real
+from cassiarail.gateway.application import (
+    GatewayApplication,
+    GatewayEnvironment,
+)
+from cassiarail.gateway.server import (
+    Listener,
+    ListenerSettings,
+    build_operators_asgi,
+)
+from cassiarail.routing.snapshot import (
+    RoutingSnapshot,
+    TargetKind,
+    TargetState,
+)
+from cassiarail.targets.connections import create_tcp_transport
+from tests.gateway.fakes import FakeEngine, FakeStore
+from tests.gateway.world import (
+    KEYS,
+    build_declarations,
+    chat,
+    read_tokens,
+)
+
+LOOPBACK = ListenerSettings('127.0.0.1', 0)
+
+
+@contextlib.asynccontextmanager
+async def _run(application):
+    async with anyio.create_task_group() as group:
+        group.start_soon(application.run)
+        await application.started.wait()
+        yield
+        application.request_stop()
+
+
+def test_serves_streams_on_tcp_and_stops():
+    """The whole path must work on real connections and end at a stop."""
+
+    async def main():
+        registry = CollectorRegistry()
+        declarations = build_declarations()
+        engine = FakeEngine('e1', words=('nur ', 'eins'), pause_s=0)
+        target = Listener('engine', engine, LOOPBACK)
+        snapshot = RoutingSnapshot(
+            1,
+            (
+                TargetState(
+                    'e1',
+                    'salzmodell',
+                    TargetKind.ENGINE,
+                    'bex',
+                    '',
+                    models=frozenset({'salz'}),
+                ),
+            ),
+        )
+        gateway = GatewayApplication(
+            GatewayEnvironment(
+                'g1',
+                lambda: snapshot._replace(
+                    targets=(
+                        snapshot.targets[0]._replace(
+                            address=f'127.0.0.1:{target.port}',
+                        ),
+                    ),
+                ),
+                lambda: declarations,
+                FakeStore(),
+                LoopClock(),
+                random.Random(1),
+                lambda _: create_tcp_transport(),
+                registry,
+                trace.NoOpTracer(),
+            ),
+        )
+        callers = Listener('callers', gateway.asgi, LOOPBACK)
+        operators = Listener(
+            'operators',
+            build_operators_asgi(lambda: application.is_ready(), registry),
+            LOOPBACK,
+        )
+        application = Application(
+            'gateway',
+            (operators, target, callers, *gateway.components),
+        )
+        async with _run(application), httpx.AsyncClient() as client:
+            base = f'http://127.0.0.1:{operators.port}'
+            assert (await client.get(f'{base}/healthz')).status_code == 200
+            assert (await client.get(f'{base}/readyz')).status_code == 200
+            answer = await client.post(
+                f'http://127.0.0.1:{callers.port}/v1/chat/completions',
+                json=chat(True),
+                headers={'authorization': f'Bearer {KEYS["pan-master"]}'},
+            )
+            assert read_tokens(answer.text) == ([0, 1], 'nur eins', True)
+            metrics = (await client.get(f'{base}/metrics')).text
+            assert 'cassiarail_gateway_relayed_tokens_total 2.0' in metrics
+            await gateway.requests.drain()
+            assert (await client.get(f'{base}/readyz')).status_code == 503
+        await gateway.pools.aclose()
+
+    run_real(main)
+
+
+def test_a_taken_port_is_reported_at_the_start():
+    async def main():
+        first = Listener('first', None, LOOPBACK)
+        await first.start()
+        second = Listener('second', None, LOOPBACK._replace(port=first.port))
+        with pytest.raises(SettingsError):
+            await second.start()
+        await first.stop()
+
+    run_real(main)
