--- a/cassiarail/gateway/application.py
+++ b/cassiarail/gateway/application.py
@@ -14,7 +14,7 @@
     LeavingMemory,
     SnapshotSource,
 )
-from cassiarail.gateway.background import BackgroundJobs
+from cassiarail.gateway.background import BackgroundJobs, PoolKeeper
 from cassiarail.gateway.chat import ChatEndpoint
 from cassiarail.gateway.completions import CompletionTools
 from cassiarail.gateway.directory import (
@@ -94,9 +94,9 @@
 class GatewayApplication:
     """Own the request path of one gateway.
 
-    ``asgi`` serves callers. ``components`` must run in the process's
-    application, after the server in order, so that at a stop the requests
-    finish before the server closes.
+    ``asgi`` serves callers. ``components`` come after the listeners in the
+    process's application, because components drain in reverse order and the
+    requests must finish before the listeners close.
     """
 
     def __init__(
@@ -107,6 +107,11 @@
         self.requests = RequestRegistry()
         self.jobs = BackgroundJobs()
         self.pools = ConnectionPools(environment.transports)
+        self.pool_keeper = PoolKeeper(
+            self.pools,
+            environment.snapshot,
+            environment.clock,
+        )
         self.metrics = GatewayMetrics(environment.registry)
         self._environment = environment
         self._hooks = hooks or GatewayHooks.permissive()
@@ -114,9 +119,9 @@
         self.asgi = self._build_asgi()
 
     @property
-    def components(self) -> tuple[BackgroundJobs, RequestRegistry]:
+    def components(self) -> tuple[PoolKeeper, BackgroundJobs, RequestRegistry]:
         """Return the parts with a life cycle, in the order of their start."""
-        return (self.jobs, self.requests)
+        return (self.pool_keeper, self.jobs, self.requests)
 
     def _build_asgi(self) -> Starlette:
         environment = self._environment
--- a/cassiarail/gateway/attempts.py
+++ b/cassiarail/gateway/attempts.py
@@ -36,7 +36,10 @@
 _RETRY_AFTER_S = 1
 _RETRY_BASE_S = 0.02
 _RETRY_CAP_S = 1
-_LEAVING_MEMORY_S = 5
+# A known instance that is leaving never takes work again, so the bound only
+# limits the memory. Without an instance id, its successor looks the same.
+_KNOWN_LEAVING_S = 600
+_UNKNOWN_LEAVING_S = 5
 _LEAVING = 'leaving'
 
 
@@ -72,7 +75,8 @@
         self._until = {
             key: until for key, until in self._until.items() if until > now
         }
-        self._until[target.name, target.instance] = now + _LEAVING_MEMORY_S
+        held_s = _KNOWN_LEAVING_S if target.instance else _UNKNOWN_LEAVING_S
+        self._until[target.name, target.instance] = now + held_s
 
     def holds(self, target: TargetState) -> bool:
         """Tell whether an instance said lately that it is leaving."""
--- a/cassiarail/gateway/background.py
+++ b/cassiarail/gateway/background.py
@@ -1,16 +1,20 @@
-"""Run work that outlives the request which caused it."""
+"""Run what isn't part of any one request."""
 
 import collections
 from collections.abc import Awaitable, Callable
 
 import anyio
 
+from cassiarail.core.clock import Clock
 from cassiarail.core.lifecycle import Component
+from cassiarail.routing.snapshot import RoutingSnapshot
+from cassiarail.targets.connections import ConnectionPools
 
 Job = Callable[[], Awaitable[None]]
 _CAPACITY = 2000
 _PARALLEL = 32
 _DRAIN_S = 5
+_PERIOD_S = 60
 
 
 class BackgroundJobs(Component):
@@ -63,3 +67,41 @@
     def _signal(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
+
+
+class PoolKeeper(Component):
+    """Keep the pools to the addresses of the snapshot.
+
+    Targets are replaced all the time; without this, the pool of each address
+    that was ever used would stay.
+    """
+
+    name = 'pools'
+
+    def __init__(
+        self,
+        pools: ConnectionPools,
+        snapshot: Callable[[], RoutingSnapshot],
+        clock: Clock,
+    ) -> None:
+        self._pools = pools
+        self._snapshot = snapshot
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Compare the pools with the snapshot once a minute."""
+        while True:
+            await self._clock.sleep(_PERIOD_S)
+            await self.sweep()
+
+    async def sweep(self) -> None:
+        """Retire the pools of addresses that no target has any more."""
+        targets = self._snapshot().targets
+        if targets:
+            await self._pools.close_idle(
+                {target.address for target in targets},
+            )
+
+    async def stop(self) -> None:
+        """Close all connections to targets."""
+        await self._pools.aclose()
--- a/cassiarail/gateway/server.py
+++ b/cassiarail/gateway/server.py
@@ -54,6 +54,7 @@
         self._settings = settings
         self._descriptor: int | None = None
         self._stopping = anyio.Event()
+        self._stopped = anyio.Event()
 
     async def start(self) -> None:
         """Bind the address, so that a taken port is reported at once."""
@@ -74,10 +75,13 @@
                 self._stopping.wait,
             ),
         )
+        self._stopped.set()
 
     async def drain(self) -> None:
-        """Stop accepting; the requests were finished before."""
+        """Stop accepting and close connections that carry no request."""
         self._stopping.set()
+        with anyio.move_on_after(_GRACE_S + 1):
+            await self._stopped.wait()
 
     async def stop(self) -> None:
         """Release an address that was never served."""
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -167,3 +167,29 @@
         assert int(engine.headers[0][b'x-timeout-ms']) <= 2500
 
     run_world(scenario)
+
+
+def test_no_new_work_goes_to_a_target_that_said_it_is_leaving():
+    """The snapshot lags behind the target's own word."""
+
+    async def scenario(world, client):
+        leaving = world.add(FakeEngine('e1', [(0, 'refuse')]), instance='i1')
+        world.add(FakeEngine('e2'))
+        for _ in range(3):
+            answer = await client.post('/v1/chat/completions', json=chat())
+            assert answer.status_code == 200
+        assert len(leaving.requests) == 1
+
+    run_world(scenario)
+
+
+def test_closes_the_pools_of_targets_that_are_gone():
+    async def scenario(world, client):
+        world.add(FakeEngine('e1'))
+        await client.post('/v1/chat/completions', json=chat())
+        world.targets.clear()
+        world.add(FakeEngine('e2'))
+        await world.gateway.pool_keeper.sweep()
+        assert world.gateway.pools.retired_count == 1
+
+    run_world(scenario)
