Close races in the quarantine of suspects

The second request that reported a crash was answered before the announcement was done. A copy sent through another gateway before it knew of the crash ran beside the trial of the first. The instance of a target was read before the claim and was outdated after it.

Change: later reports of a crash wait for its announcement, which a departing caller doesn't cancel. Gateways claim for ordinary attempts whose request became a suspect; merge returns these claims, to be announced, and a trial waits 0.2 s for them. watch reads the instance after the claim; record_crash takes the attempt. A complete response clears its request even if the target crashes at the same moment. Waiting requests share one pass over held slots.

A request can be quarantined before it crashed two targets itself, if it was also in flight at another's crash.

--- a/cassiarail/gateway/overload.py
+++ b/cassiarail/gateway/overload.py
@@ -21,7 +21,7 @@
     weigh_equally,
 )
 
-_RECHECK_S = 0.05
+_RECHECK_S = 0.1
 Choose = Callable[[Sequence[str]], str]
 
 
@@ -94,6 +94,7 @@
         self._queue: FairQueue[_Waiter] = FairQueue(
             clock, find_weight, ageing_s
         )
+        self._granted_at = float('-inf')
         self.estimator = AdmissionEstimator(
             clock, self.limits, self._queue, admission
         )
@@ -167,8 +168,7 @@
             while not waiter.decided.is_set():
                 with anyio.move_on_after(_RECHECK_S):
                     await waiter.decided.wait()
-                # A slot that was held for others may be free by now.
-                self._grant_free()
+                self._grant_held()
         if not waiter.decided.is_set():
             waiter.decided.set()
             self._queue.remove(ticket)
@@ -182,8 +182,18 @@
             waiter.permit.release(succeeded=False)
             self._grant_free()
 
+    def _grant_held(self) -> None:
+        """Give slots that were held for others and are no longer.
+
+        All waiting requests call this; one pass serves those that wake
+        together.
+        """
+        if self._clock.monotonic() - self._granted_at >= _RECHECK_S / 2:
+            self._grant_free()
+
     def _grant_free(self) -> None:
         """Give free slots to waiting requests in fair order."""
+        self._granted_at = self._clock.monotonic()
         while True:
             ticket = self._queue.pop(
                 pool
--- a/cassiarail/gateway/quarantine.py
+++ b/cassiarail/gateway/quarantine.py
@@ -7,7 +7,12 @@
 
 import contextlib
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterable,
+)
 from typing import NamedTuple
 
 import anyio
@@ -30,13 +35,15 @@
     """Hold the times of trials in seconds.
 
     ``announce_timeout_s`` bounds how long a retry or response waits for the
-    peers; ``claim_s`` ends the claim of a gateway that has vanished.
+    peers; ``claim_s`` ends the claim of a gateway that has vanished. A suspect
+    waits ``settle_s`` for the replies of gateways that already run it.
     """
 
     announce_timeout_s: float = 1.0
     claim_s: float = 60.0
     claim_attempts: int = 4
     claim_backoff_s: float = 0.1
+    settle_s: float = 0.2
 
 
 class Run(NamedTuple):
@@ -69,6 +76,8 @@
         self._announce = announce
         self._rules = rules or QuarantineRules()
         self._running: dict[int, Run] = {}
+        self._claims: dict[int, Claim] = {}
+        self._announcing: dict[str, anyio.Event] = {}
         self._started = 0
         self.records = SuspicionRecords(clock)
 
@@ -96,44 +105,84 @@
         self,
         fingerprint: str,
         target: str,
-        instance: str,
+        find_instance: Callable[[], str],
     ) -> AsyncIterator[Run]:
         """Run the block as an attempt of a request at a target.
 
         Raises ``QuarantinedError`` or, if another suspect holds the target or
         the request is tried elsewhere, ``SuspectBusyError``; the attempt was
         not run then. A block that returns is a success. A block that learns
-        of a crash calls ``record_crash`` before it ends.
+        of a crash calls ``record_crash`` before it ends. ``find_instance`` is
+        called when the block begins, because the target may be replaced while
+        a suspect waits for its claim.
         """
         self.check(fingerprint)
         claim: Claim | None = None
         if self.records.is_suspect(fingerprint):
             claim = await self._claim(fingerprint, target)
         self._started += 1
-        run = Run(fingerprint, target, instance, self._started)
+        run = Run(fingerprint, target, find_instance(), self._started)
         self._running[run.number] = run
+        if claim is not None:
+            self._claims[run.number] = claim
         try:
             yield run
             await self._clear(run)
         finally:
-            self._running.pop(run.number, None)
-            if claim is not None:
-                with anyio.CancelScope(shield=True):
-                    await self._release(claim)
+            await self._end(run)
 
-    async def record_crash(self, target: str, instance: str) -> None:
-        """Suspect all that was in flight at an instance that crashed.
+    async def record_crash(self, run: Run) -> None:
+        """Suspect all that was in flight at the instance of an attempt.
 
-        Returns when the peers know; retry or respond only after that. Later
-        calls for the same crash announce only what they find new.
+        Returns when the peers know; retry or respond only after that. Each
+        request in flight reports the crash: the first call announces it for
+        all, and the others wait for that announcement.
         """
-        fingerprints = self._end_runs(target, instance)
-        crash = frozenset((f'{target}@{instance}',))
+        crash_id = f'{run.target}@{run.instance}'
+        fingerprints = self._end_runs(run.target, run.instance)
+        crash = frozenset((crash_id,))
         self.records.add_crashes(Notice(name, crash) for name in fingerprints)
         # All known crashes are told, because a peer may lack earlier ones.
         notices = self.records.describe(fingerprints)
         if notices:
-            await self._tell(Announcement(self._gateway, crashes=notices))
+            claims = self._claim_running(fingerprints)
+            await self._tell_crash(
+                crash_id,
+                Announcement(self._gateway, crashes=notices, claims=claims),
+            )
+            return
+        told = self._announcing.get(crash_id)
+        if told is not None:
+            await told.wait()
+
+    async def _tell_crash(
+        self,
+        crash_id: str,
+        announcement: Announcement,
+    ) -> None:
+        """Announce a crash even if the caller that reports it goes away."""
+        told = self._announcing.setdefault(crash_id, anyio.Event())
+        with anyio.CancelScope(shield=True):
+            await self._tell(announcement)
+        told.set()
+        self._announcing.pop(crash_id, None)
+
+    def _claim_running(self, fingerprints: Iterable[str]) -> list[Claim]:
+        """Claim for ordinary attempts whose requests became suspects."""
+        suspects = frozenset(fingerprints)
+        claims = []
+        for run in self._running.values():
+            if run.fingerprint in suspects and run.number not in self._claims:
+                claim = self._make_claim(run.fingerprint, run.target)
+                self._claims[run.number] = claim
+                self.records.add_claim(claim)
+                claims.append(claim)
+        return claims
+
+    def _make_claim(self, fingerprint: str, target: str) -> Claim:
+        self._started += 1
+        name = f'{self._gateway}#{self._started}'
+        return Claim(name, fingerprint, target, self._rules.claim_s)
 
     async def lift(self, fingerprint: str) -> bool:
         """Lift a quarantine or suspicion for an operator.
@@ -150,10 +199,23 @@
         """Return the quarantined fingerprints and suspects for operators."""
         return self.records.list_entries()
 
-    def merge(self, announcement: Announcement) -> None:
-        """Take what another gateway announced, in any order and repeatedly."""
-        if announcement.gateway != self._gateway:
-            self.records.merge(announcement)
+    def merge(self, announcement: Announcement) -> Announcement | None:
+        """Take what another gateway announced, in any order and repeatedly.
+
+        Returns what must be announced to all gateways in reply: that requests
+        which are now suspects are already running here.
+        """
+        if announcement.gateway == self._gateway:
+            return None
+        self.records.merge(announcement)
+        claims = self._claim_running(
+            notice.fingerprint
+            for notice in announcement.crashes
+            if self.records.is_suspect(notice.fingerprint)
+        )
+        if not claims:
+            return None
+        return Announcement(self._gateway, claims=claims)
 
     def merge_names(
         self,
@@ -174,10 +236,17 @@
             self._running.pop(run.number)
         return {attempt.fingerprint for attempt in ended}
 
+    async def _end(self, run: Run) -> None:
+        """Forget an attempt and give up its claim, even when cancelled."""
+        self._running.pop(run.number, None)
+        claim = self._claims.pop(run.number, None)
+        if claim is not None:
+            with anyio.CancelScope(shield=True):
+                await self._release(claim)
+
     async def _clear(self, run: Run) -> None:
-        if run.number not in self._running:
-            # The target crashed although the block returned.
-            return
+        # A complete response clears the request even if its target crashed at
+        # the same moment.
         if not self.records.is_suspect(run.fingerprint):
             return
         notice = self.records.clear(run.fingerprint)
@@ -205,16 +274,12 @@
         """Claim the target and the fingerprint, or give way."""
         if self.records.find_claims(fingerprint, target):
             return None
-        self._started += 1
-        claim = Claim(
-            f'{self._gateway}#{self._started}',
-            fingerprint,
-            target,
-            self._rules.claim_s,
-        )
+        claim = self._make_claim(fingerprint, target)
         self.records.add_claim(claim)
         try:
             await self._tell(Announcement(self._gateway, claims=[claim]))
+            # Replies to the crash or the claim may still be on the way.
+            await self._clock.sleep(self._rules.settle_s)
         except BaseException:
             self.records.end_claim(claim.name)
             raise
--- a/cassiarail/limits/admission.py
+++ b/cassiarail/limits/admission.py
@@ -21,7 +21,7 @@
     none was refused for ``standing_after_s``.
     """
 
-    max_queued: int = 2000
+    max_queued: int = 500
     max_wait_s: float = 5.0
     standing_after_s: float = 1.0
     standing_wait_s: float = 0.1
@@ -108,6 +108,9 @@
         now = self._clock.monotonic()
         if now < self._standing_until:
             self._standing_until = now + self._rules.standing_after_s
+            # Those refused come back when the queue may have gone, not at
+            # once.
+            excess_s = max(excess_s, self._rules.standing_after_s)
         retry_after_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, excess_s))
         waiting = self._queue.count_caller(caller)
         callers = max(1, self._queue.count_callers())
