--- a/cassiarail/gateway/overload.py
+++ b/cassiarail/gateway/overload.py
@@ -21,6 +21,7 @@
     weigh_equally,
 )
 
+_RECHECK_S = 0.1
 Choose = Callable[[Sequence[str]], str]
 
 
@@ -93,6 +94,7 @@
         self._queue: FairQueue[_Waiter] = FairQueue(
             clock, find_weight, ageing_s
         )
+        self._granted_at = float('-inf')
         self.estimator = AdmissionEstimator(
             clock, self.limits, self._queue, admission
         )
@@ -110,11 +112,14 @@
         deadline: Deadline,
         candidates: Sequence[str],
         choose: Choose | None = None,
+        preferred: Sequence[str] = (),
     ) -> AsyncIterator[Permit]:
         """Wait for a slot and hold it while the block runs.
 
         ``choose`` picks one of the names with a free slot; by default the one
-        with the fewest requests in flight. Raises ``OverloadedError`` if the
+        with the fewest requests in flight. ``preferred`` are the targets that
+        hold the request's prefix; others are given only once they have been
+        free for a moment. Raises ``OverloadedError`` if the
         request could not be answered by its deadline; it was not run then.
         A block that ends by an exception counts as failed.
         """
@@ -122,7 +127,7 @@
             caller,
             priority,
             deadline,
-            tuple(candidates),
+            Pool(tuple(candidates), tuple(preferred)),
             choose or self._choose_idlest,
         )
         succeeded = False
@@ -160,7 +165,10 @@
             waiter.deadline, ticket.pool
         )
         with anyio.move_on_after(longest_s):
-            await waiter.decided.wait()
+            while not waiter.decided.is_set():
+                with anyio.move_on_after(_RECHECK_S):
+                    await waiter.decided.wait()
+                self._grant_held()
         if not waiter.decided.is_set():
             waiter.decided.set()
             self._queue.remove(ticket)
@@ -174,8 +182,18 @@
             waiter.permit.release(succeeded=False)
             self._grant_free()
 
+    def _grant_held(self) -> None:
+        """Give slots that were held for others and are no longer.
+
+        All waiting requests call this; one pass serves those that wake
+        together.
+        """
+        if self._clock.monotonic() - self._granted_at >= _RECHECK_S / 2:
+            self._grant_free()
+
     def _grant_free(self) -> None:
         """Give free slots to waiting requests in fair order."""
+        self._granted_at = self._clock.monotonic()
         while True:
             ticket = self._queue.pop(
                 pool
