--- a/cassiarail/control/configuration.py
+++ b/cassiarail/control/configuration.py
@@ -19,6 +19,7 @@
     PeerRejectedError,
     StoreError,
     StoreOutcomeUnknownError,
+    StoreUnavailableError,
     VersionConflictError,
     WatchExpiredError,
 )
@@ -30,11 +31,12 @@
 from cassiarail.membership.bundles import BundleHistory
 from cassiarail.membership.ports import ConfigurationPort
 from cassiarail.membership.protos import peers_pb2 as pb
-from cassiarail.store.backends.base import ObjectStore, StoredObject
+from cassiarail.store.backends.base import ObjectStore, StoredObject, WatchBatch
 
 CONFIGURATION_KIND = 'configuration'
 CONFIGURATION_NAME = 'current'
 _WATCH_S = 30.0
+_WATCH_SLACK_S = 5.0
 _REREAD_S = 60.0
 _ROLE_CHECK_S = 0.25
 # A change accepted during a lost answer must still be found after many others.
@@ -230,14 +232,26 @@
         if self._is_watcher():
             await self._watch()
             return
-        await self._take(
-            await self._store.read(CONFIGURATION_KIND, CONFIGURATION_NAME),
-        )
+        await self._reread()
         wait_s = self._generator.uniform(_REREAD_S / 2, _REREAD_S)
         deadline = self._clock.monotonic() + wait_s
         while self._clock.monotonic() < deadline and not self._is_watcher():
             await self._clock.sleep(_ROLE_CHECK_S)
 
+    async def _reread(self) -> None:
+        """Read once; a failure waits for the next read if a peer helped."""
+        try:
+            stored = await self._store.read(
+                CONFIGURATION_KIND,
+                CONFIGURATION_NAME,
+            )
+        except StoreError as error:
+            if self.current is None:
+                raise
+            emit_event(CONFIGURATION_STORE_FAILED, error=error.message)
+            return
+        await self._take(stored)
+
     async def _watch(self) -> None:
         listing = await self._store.list_objects(CONFIGURATION_KIND)
         for stored in listing.entries:
@@ -245,17 +259,25 @@
         revision = listing.revision
         while self._is_watcher():
             try:
-                batch = await self._store.watch(
-                    CONFIGURATION_KIND,
-                    revision,
-                    _WATCH_S,
-                )
+                batch = await self._watch_once(revision)
             except WatchExpiredError:
                 return
             for changed in batch.entries:
                 await self._take(changed)
             revision = batch.revision
 
+    async def _watch_once(self, revision: int) -> WatchBatch:
+        """Wait for changes; a silent connection counts as unavailable."""
+        try:
+            with anyio.fail_after(_WATCH_S + _WATCH_SLACK_S):
+                return await self._store.watch(
+                    CONFIGURATION_KIND,
+                    revision,
+                    _WATCH_S,
+                )
+        except TimeoutError as error:
+            raise StoreUnavailableError('the watch went silent') from error
+
     async def _take(self, stored: StoredObject | None) -> None:
         if stored is None or stored.name != CONFIGURATION_NAME:
             return
--- a/cassiarail/membership/digest.py
+++ b/cassiarail/membership/digest.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from cassiarail.core.clock import Clock
 from cassiarail.membership.fingerprints import FingerprintTable
 from cassiarail.membership.peers import MemberNews, Peer, PeerTable
 from cassiarail.membership.protos import peers_pb2 as pb
@@ -45,12 +46,14 @@
 
     def __init__(
         self,
+        clock: Clock,
         revisions: Revisions,
         peers: PeerTable,
         targets: TargetTable,
         fingerprints: FingerprintTable,
     ) -> None:
         """Take the tables that digests carry."""
+        self._clock = clock
         self._revisions = revisions
         self._peers = peers
         self._targets = targets
@@ -111,9 +114,13 @@
 
     def _list_changes(self, after: int, address: str) -> list[_Change]:
         changes: list[_Change] = []
+        now = self._clock.monotonic()
         for peer in self._peers.peers.values():
+            if peer.suspected:
+                # A joining node would take it for a live member.
+                continue
             if peer.identity_revision > after and peer.address != address:
-                changes.append(_make_identity(peer))
+                changes.append(_make_identity(peer, now))
             elif (
                 peer.heartbeat_revision > after and address not in peer.holders
             ):
@@ -186,6 +193,7 @@
         member.incarnation,
         member.heartbeat,
         member.generation,
+        member.age_s,
     )
 
 
@@ -208,8 +216,8 @@
     )
 
 
-def _make_identity(peer: Peer) -> _Change:
-    return _Change(peer.identity_revision, _AppendMember(peer))
+def _make_identity(peer: Peer, now: float) -> _Change:
+    return _Change(peer.identity_revision, _AppendMember(peer, now))
 
 
 def _make_heartbeat(peer: Peer) -> _Change:
@@ -217,11 +225,14 @@
 
 
 class _AppendMember:
-    def __init__(self, peer: Peer) -> None:
+    def __init__(self, peer: Peer, now: float) -> None:
         self._peer = peer
+        self._now = now
 
     def __call__(self, digest: pb.Digest) -> None:
-        digest.members.append(write_member(self._peer))
+        member = write_member(self._peer)
+        member.age_s = int(max(0, self._now - self._peer.heard_at))
+        digest.members.append(member)
 
 
 class _AppendHeartbeat:
--- a/cassiarail/membership/exchange.py
+++ b/cassiarail/membership/exchange.py
@@ -56,12 +56,12 @@
             address,
             clock,
             revisions,
-            self._generator,
             started_ms,
         )
         self.targets = TargetTable(clock, revisions)
         self.fingerprints = FingerprintTable(revisions)
         self._digests = Digests(
+            clock,
             revisions,
             self.peers,
             self.targets,
@@ -115,9 +115,19 @@
         target: str,
         observation: LoadObservation,
         started_at: float,
+        *,
+        is_first: bool = True,
     ) -> None:
-        """Take the answer to a poll and announce what can't wait."""
-        change = self.targets.observe(target, observation, started_at)
+        """Take the answer to a poll and announce what can't wait.
+
+        Only the first poller of a target spreads its load regularly.
+        """
+        change = self.targets.observe(
+            target,
+            observation,
+            started_at,
+            is_first=is_first,
+        )
         if change is TargetChange.ANNOUNCE:
             entry = self.targets.find(target)
             if entry is not None:
--- a/cassiarail/membership/peers.py
+++ b/cassiarail/membership/peers.py
@@ -1,6 +1,5 @@
 """Hold the live controllers of a data centre."""
 
-import random
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -13,7 +12,7 @@
     PEER_REMOVED,
     PEER_SUSPECTED,
 )
-from cassiarail.membership.revisions import Revisions, hash_name
+from cassiarail.membership.revisions import Revisions, hash_name, rank_pair
 
 # Heartbeats advance every 6 s and take up to 6 s to arrive everywhere; a
 # neighbour that fails to answer is suspected at once by announcement.
@@ -23,8 +22,7 @@
 _FORGET_AFTER_S = 600.0
 _WATCHERS = 2
 _LAST_HEARTBEAT = 0xFFFFFFFF
-# A new random neighbour is sent the whole table, so it is kept for long.
-_RANDOM_NEIGHBOUR_S = 60.0
+_PAIRING = 'pairing'
 
 
 class MemberNews(NamedTuple):
@@ -34,6 +32,7 @@
     incarnation: int
     heartbeat: int
     generation: int = 0
+    age_s: float = 0
 
 
 class Peer:
@@ -62,16 +61,12 @@
         address: str,
         clock: Clock,
         revisions: Revisions,
-        generator: random.Random,
         incarnation: int,
     ) -> None:
         """Start with the own member only."""
         self._clock = clock
         self._revisions = revisions
-        self._generator = generator
         self._tombstones: dict[str, tuple[int, int, float]] = {}
-        self._random_neighbour = ''
-        self._random_until = float(0)
         self.own = Peer(MemberNews(address, incarnation, 1), clock.monotonic())
         self.own.identity_revision = revisions.advance()
         self.own.heartbeat_revision = self.own.identity_revision
@@ -181,16 +176,18 @@
     def list_neighbours(self) -> list[str]:
         """Return the members that this node calls each second.
 
-        These are the next one on the ring and, for every other member, a
-        random one. Each node then has exchanges with three neighbours on
-        average; every further link would carry all news once more.
+        These are the next one on the ring and, for one node of each pair, the
+        other one. Pairs follow from a second random order, so that each node
+        has exchanges with three neighbours; every further one would carry all
+        news once more.
         """
         live = self.list_live()
         position = live.index(self.own.address)
-        following = live[(position + 1) % len(live)]
-        chosen = [following]
-        if position % 2 == 0:
-            chosen.append(self._choose_random(live, self.list_ring()))
+        chosen = [live[(position + 1) % len(live)]]
+        shuffled = sorted(live, key=_order_in_pairs)
+        place = shuffled.index(self.own.address)
+        if place % 2 == 0:
+            chosen.extend(shuffled[place + 1 : place + 2])
         return [
             address
             for address in dict.fromkeys(chosen)
@@ -231,7 +228,7 @@
         return (news.incarnation, news.heartbeat) <= (incarnation, heartbeat)
 
     def _add(self, news: MemberNews, source: str) -> None:
-        peer = Peer(news, self._clock.monotonic())
+        peer = Peer(news, self._clock.monotonic() - news.age_s)
         peer.holders = {source}
         peer.identity_revision = self._revisions.advance()
         peer.heartbeat_revision = peer.identity_revision
@@ -246,21 +243,10 @@
             peer.suspected = False
             emit_event(PEER_REFUTED, peer=peer.address)
 
-    def _choose_random(self, live: list[str], ring: list[str]) -> str:
-        """Return the present random neighbour, or choose another one."""
-        near = {self.own.address, *ring}
-        others = [address for address in live if address not in near]
-        if not others:
-            return self.own.address
-        now = self._clock.monotonic()
-        if now > self._random_until or self._random_neighbour not in others:
-            self._random_neighbour = self._generator.choice(others)
-            self._random_until = now + self._generator.uniform(
-                _RANDOM_NEIGHBOUR_S / 2,
-                _RANDOM_NEIGHBOUR_S,
-            )
-        return self._random_neighbour
-
 
 def _order_on_ring(peer: Peer) -> tuple[int, str]:
     return (peer.key, peer.address)
+
+
+def _order_in_pairs(address: str) -> int:
+    return rank_pair(_PAIRING, address)
--- a/cassiarail/membership/polling.py
+++ b/cassiarail/membership/polling.py
@@ -1,8 +1,12 @@
 """Poll the load of targets, each by one or two controllers."""
 
+import collections
+import functools
+import math
 import random
 
 import anyio
+from anyio.abc import TaskGroup
 
 from cassiarail.core.clock import Clock
 from cassiarail.core.exceptions import CassiarailError
@@ -50,7 +54,20 @@
                     group.start_soon(self._poll, target)
                 self._node.targets.forget_except(self._ranked_for[1])
                 tick += 1
-                await self._clock.sleep(_POLL_S)
+                await self._wait_tick(group)
+
+    async def _wait_tick(self, group: TaskGroup) -> None:
+        """Wait for the next second; poll at once what a lost member polled."""
+        ends_at = self._clock.monotonic() + _POLL_S
+        while self._clock.monotonic() < ends_at:
+            with anyio.move_on_after(ends_at - self._clock.monotonic()):
+                await self._node.changed.wait()
+            for target in self._update_ranks():
+                group.start_soon(self._poll_now, target)
+
+    def find_rank(self, target: str) -> int | None:
+        """Return 0 for the first poller of a target, 1 for the second."""
+        return self._ranks.get(target)
 
     def _list_due(self, tick: int) -> list[str]:
         return [
@@ -60,21 +77,27 @@
             or (tick + hash_name(target)) % _SECOND_POLLER_TICKS == 0
         ]
 
-    def _update_ranks(self) -> None:
+    def _update_ranks(self) -> list[str]:
+        """Return the targets for which this node became the first poller."""
         live = self._node.peers.list_live()
         targets = self._source.list_targets()
         if (live, targets) == self._ranked_for:
-            return
+            return []
         self._ranked_for = (live, targets)
-        self._ranks = {}
-        for target in targets:
-            rank = _find_rank(target, live, self._node.address)
-            if rank < _POLLERS:
-                self._ranks[target] = rank
+        before = self._ranks
+        self._ranks = assign_ranks(targets, live, self._node.address)
+        return [
+            name
+            for name, rank in self._ranks.items()
+            if rank == 0 and before.get(name) != 0
+        ]
 
     async def _poll(self, target: str) -> None:
         """Poll one target at its own phase of the second."""
         await self._clock.sleep(hash_name(target) % _PHASES / _PHASES)
+        await self._poll_now(target)
+
+    async def _poll_now(self, target: str) -> None:
         started_at = self._clock.monotonic()
         try:
             with anyio.fail_after(_POLL_TIMEOUT_S):
@@ -82,10 +105,46 @@
         except (CassiarailError, TimeoutError):
             # Gateways judge failing targets by their own requests.
             return
-        self._node.observe_load(target, observation, started_at)
+        self._node.observe_load(
+            target,
+            observation,
+            started_at,
+            is_first=self._ranks.get(target) == 0,
+        )
+
+
+def assign_ranks(
+    targets: list[str],
+    live: list[str],
+    address: str,
+) -> dict[str, int]:
+    """Return the targets that a member polls, with its rank for each.
+
+    A target goes to the members that rank highest for it and aren't full.
+    Without the bound the most loaded of 54 members polls almost three times
+    the average.
+    """
+    room = math.ceil(len(targets) / max(1, len(live)))
+    counts: collections.Counter[tuple[int, str]] = collections.Counter()
+    ranks = {}
+    for target in sorted(targets):
+        ordered = sorted(live, key=functools.partial(rank_pair, target))
+        for rank in range(min(_POLLERS, len(live))):
+            chosen = _choose_with_room(ordered, rank, room, counts)
+            ordered.remove(chosen)
+            counts[rank, chosen] += 1
+            if chosen == address:
+                ranks[target] = rank
+    return ranks
 
 
-def _find_rank(target: str, live: list[str], address: str) -> int:
-    """Return how many live members outrank an address for a target."""
-    own = rank_pair(target, address)
-    return sum(1 for member in live if rank_pair(target, member) > own)
+def _choose_with_room(
+    ordered: list[str],
+    rank: int,
+    room: int,
+    counts: collections.Counter[tuple[int, str]],
+) -> str:
+    for member in reversed(ordered):
+        if counts[rank, member] < room:
+            return member
+    return ordered[-1]
--- a/cassiarail/membership/targets.py
+++ b/cassiarail/membership/targets.py
@@ -80,24 +80,29 @@
         name: str,
         observation: LoadObservation,
         started_at: float,
+        *,
+        is_first: bool = True,
     ) -> TargetChange:
-        """Take the answer to a poll that began at a monotonic time."""
+        """Take the answer to a poll that began at a monotonic time.
+
+        ``is_first`` tells whether this node is the target's first poller.
+        """
         entry = self.entries.get(hash_name(name))
         if entry is None:
             entry = self._add(name)
         profile = _describe(entry.profile, observation)
-        is_first = not entry.profile.instance
+        is_unknown = not entry.profile.instance
         change = TargetChange.NONE
         if profile.epoch != entry.profile.epoch:
-            if entry.changed_at > started_at and not is_first:
+            if entry.changed_at > started_at and not is_unknown:
                 # The answer is older than the change that is already known.
                 return TargetChange.NONE
             entry.load = Load()
             entry.spread = Load()
         if profile != entry.profile:
             change = self._replace(entry, profile, '')
-        self._observe_load(entry, observation)
-        return TargetChange.SPREAD if is_first else change
+        self._observe_load(entry, observation, is_first=is_first)
+        return TargetChange.SPREAD if is_unknown else change
 
     def merge_profile(
         self,
@@ -231,6 +236,8 @@
         self,
         entry: TargetEntry,
         observation: LoadObservation,
+        *,
+        is_first: bool,
     ) -> None:
         if observation.sequence < entry.load.sequence:
             return
@@ -242,7 +249,11 @@
             kv_share=observation.kv_used_bytes * _SHARE_STEPS // total,
             polled_at=self._clock.monotonic(),
         )
-        if _is_noticeable(entry, len(self.entries) / _SPREADS_PER_S):
+        interval_s = len(self.entries) / _SPREADS_PER_S
+        if not is_first:
+            # The report of the first poller may still be on its way.
+            interval_s += _SPREAD_S
+        if _is_noticeable(entry, interval_s):
             self._spread(entry, entry.load, '')
 
     def _spread(self, entry: TargetEntry, load: Load, source: str) -> None:
@@ -285,7 +296,7 @@
 def _is_noticeable(entry: TargetEntry, interval_s: float) -> bool:
     """Tell whether a load differs enough from the one spread last."""
     age = entry.load.polled_at - entry.spread.polled_at
-    if age >= max(_SPREAD_S, interval_s) or not entry.spread.sequence:
+    if age >= _SPREAD_S + interval_s or not entry.spread.sequence:
         return True
     work = entry.load.running + entry.load.queued
     spread_work = entry.spread.running + entry.spread.queued
