--- a/cassiarail/membership/peers.py
+++ b/cassiarail/membership/peers.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+import anyio
+
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
 from cassiarail.membership.events import (
@@ -66,6 +68,9 @@
         """Start with the own member only."""
         self._clock = clock
         self._revisions = revisions
+        # ``None`` after a change, until the list is asked for.
+        self._live: list[str] | None = None
+        self.live_changed = anyio.Event()
         self._tombstones: dict[str, tuple[int, int, float]] = {}
         self.own = Peer(MemberNews(address, incarnation, 1), clock.monotonic())
         self.own.identity_revision = revisions.advance()
@@ -123,6 +128,7 @@
         if (peer.incarnation, peer.heartbeat) > (incarnation, heartbeat):
             return False
         peer.suspected = True
+        self._forget_live()
         emit_event(PEER_SUSPECTED, peer=address)
         return True
 
@@ -137,6 +143,7 @@
         if peer.incarnation <= incarnation:
             self.peers.pop(address)
             self.by_key.pop(peer.key, None)
+            self._forget_live()
 
     def leave(self, address: str, incarnation: int) -> bool:
         """Remove a member that left; tell whether it was known."""
@@ -164,10 +171,15 @@
                 self._tombstones.pop(address)
 
     def list_live(self) -> list[str]:
-        """Return the live members by rank, the own one included."""
-        live = [peer for peer in self.peers.values() if not peer.suspected]
-        live.sort(key=_order_on_ring)
-        return [peer.address for peer in live]
+        """Return the live members by rank, the own one included.
+
+        The list is shared; don't change it.
+        """
+        if self._live is None:
+            live = [peer for peer in self.peers.values() if not peer.suspected]
+            live.sort(key=_order_on_ring)
+            self._live = [peer.address for peer in live]
+        return self._live
 
     def is_watcher(self) -> bool:
         """Tell whether the own rank is one of the two lowest."""
@@ -212,6 +224,11 @@
         missing.update(set(self.peers) - live)
         return sorted(missing)
 
+    def _forget_live(self) -> None:
+        self._live = None
+        self.live_changed.set()
+        self.live_changed = anyio.Event()
+
     def _observe_own(self, news: MemberNews) -> bool:
         """Rise above what peers hold of a previous run at this address."""
         if news.incarnation <= self.own.incarnation:
@@ -234,6 +251,7 @@
         peer.heartbeat_revision = peer.identity_revision
         self.peers[news.address] = peer
         self.by_key[peer.key] = peer
+        self._forget_live()
         self._tombstones.pop(news.address, None)
         emit_event(PEER_JOINED, peer=news.address)
 
@@ -241,6 +259,7 @@
         peer.heard_at = self._clock.monotonic()
         if peer.suspected:
             peer.suspected = False
+            self._forget_live()
             emit_event(PEER_REFUTED, peer=peer.address)
 
 
--- a/cassiarail/membership/polling.py
+++ b/cassiarail/membership/polling.py
@@ -61,7 +61,7 @@
         ends_at = self._clock.monotonic() + _POLL_S
         while self._clock.monotonic() < ends_at:
             with anyio.move_on_after(ends_at - self._clock.monotonic()):
-                await self._node.changed.wait()
+                await self._node.peers.live_changed.wait()
             for target in self._update_ranks():
                 group.start_soon(self._poll_now, target)
 
