--- a/cassiarail/gateway/feed.py
+++ b/cassiarail/gateway/feed.py
@@ -25,6 +25,8 @@
 # connection is silent.
 _SILENCE_S = 3.0
 _REPORT_INTERVAL_S = 1.0
+# A gateway on another host's controller tries its own again after this.
+_RETURN_S = 60.0
 _BACKOFF = Backoff(base_s=0.1, cap_s=2)
 
 ListControllers = Callable[[], Sequence[str]]
@@ -114,7 +116,9 @@
             address,
             pb.SubscribeRequest(generation=generation),
         )
-        while True:
+        preferred = next(iter(self._list_controllers()))
+        ends_at = self._clock.monotonic() + _RETURN_S
+        while address == preferred or self._clock.monotonic() < ends_at:
             update = await _receive_update(updates, address)
             if self.controller is None:
                 emit_event(FEED_SUBSCRIBED, controller=address)
--- a/cassiarail/membership/digest.py
+++ b/cassiarail/membership/digest.py
@@ -15,7 +15,6 @@
 from cassiarail.membership.protos import peers_pb2 as pb
 from cassiarail.membership.revisions import Revisions
 from cassiarail.membership.targets import (
-    TargetChange,
     TargetEntry,
     TargetTable,
 )
@@ -30,9 +29,24 @@
 
     def __init__(self) -> None:
         self.acknowledged = 0
+        # Entries up to this revision are sent even if the peer held them, as
+        # it may have restarted since.
+        self.resend_until = 0
         self.seen_revision = 0
         self.seen_incarnation = 0
 
+    def acknowledge(self, revision: int, latest: int) -> None:
+        """Note the revision that the peer holds, 0 for nothing."""
+        self.acknowledged = revision
+        if not revision:
+            self.resend_until = latest
+
+    def lacks(self, revision: int, address: str, holders: set[str]) -> bool:
+        """Tell whether the peer at an address needs an entry."""
+        if revision <= self.acknowledged:
+            return False
+        return revision <= self.resend_until or address not in holders
+
 
 class _Change(NamedTuple):
     """Hold one entry to send and how to add it to a digest."""
@@ -73,7 +87,7 @@
             acknowledged=link.seen_revision,
             acknowledged_incarnation=link.seen_incarnation,
         )
-        changes = self._list_changes(link.acknowledged, address)
+        changes = self._list_changes(link, address)
         if len(changes) > MAX_ENTRIES:
             changes.sort(key=operator.itemgetter(0))
             changes = changes[:MAX_ENTRIES]
@@ -82,8 +96,8 @@
             change.append(digest)
         return digest
 
-    def merge(self, digest: pb.Digest) -> bool:
-        """Merge the digest of a peer; tell whether to announce a target.
+    def merge(self, digest: pb.Digest) -> None:
+        """Merge the digest of a peer.
 
         A heartbeat or load of something unknown means that an entry was
         lost; the peer is then asked for its whole table.
@@ -91,63 +105,51 @@
         source = digest.address
         link = self._links.setdefault(source, Link())
         own = self._peers.own
-        if digest.acknowledged_incarnation == own.incarnation:
-            link.acknowledged = digest.acknowledged
-        else:
-            link.acknowledged = 0
+        is_current = digest.acknowledged_incarnation == own.incarnation
+        link.acknowledge(
+            digest.acknowledged if is_current else 0,
+            self._revisions.latest,
+        )
         self._peers.hear_directly(_read_sender(digest))
         complete = self._merge_members(digest, source)
-        changes = [
+        for profile in digest.profiles:
             self._targets.merge_profile(profile, source)
-            for profile in digest.profiles
-        ]
         complete &= self._targets.merge_loads(digest.loads, source)
         for entry in digest.quarantine:
             self._fingerprints.merge(entry, source)
         link.seen_incarnation = digest.incarnation
         link.seen_revision = digest.revision if complete else 0
-        return TargetChange.ANNOUNCE in changes
-
-    def forget(self, address: str) -> None:
-        """Drop what is known of a peer's tables."""
-        self._links.pop(address, None)
 
-    def _list_changes(self, after: int, address: str) -> list[_Change]:
+    def _list_changes(self, link: Link, address: str) -> list[_Change]:
         changes: list[_Change] = []
         now = self._clock.monotonic()
         for peer in self._peers.peers.values():
             if peer.suspected:
                 # A joining node would take it for a live member.
                 continue
-            if peer.identity_revision > after and peer.address != address:
+            if peer.identity_revision > link.acknowledged:
                 changes.append(_make_identity(peer, now))
-            elif (
-                peer.heartbeat_revision > after and address not in peer.holders
-            ):
+            elif link.lacks(peer.heartbeat_revision, address, peer.holders):
                 changes.append(_make_heartbeat(peer))
         for entry in self._targets.entries.values():
-            changes.extend(self._list_target_changes(entry, after, address))
-        for revision, name in self._fingerprints.list_changed(after, address):
-            changes.append(
-                _Change(revision, _AppendFingerprint(self._fingerprints, name)),
-            )
+            changes.extend(self._list_target_changes(entry, link, address))
+        for name, mark in self._fingerprints.list_entries():
+            if link.lacks(mark.revision, address, {mark.source}):
+                append = _AppendFingerprint(self._fingerprints, name)
+                changes.append(_Change(mark.revision, append))
         return changes
 
     def _list_target_changes(
         self,
         entry: TargetEntry,
-        after: int,
+        link: Link,
         address: str,
     ) -> list[_Change]:
         changes = []
-        if (
-            entry.profile_revision > after
-            and address not in entry.profile_holders
-        ):
-            changes.append(
-                _Change(entry.profile_revision, _AppendProfile(entry)),
-            )
-        if entry.load_revision > after and address not in entry.load_holders:
+        if link.lacks(entry.profile_revision, address, entry.profile_holders):
+            append = _AppendProfile(entry)
+            changes.append(_Change(entry.profile_revision, append))
+        if link.lacks(entry.load_revision, address, entry.load_holders):
             changes.append(
                 _Change(
                     entry.load_revision,
--- a/cassiarail/membership/events.py
+++ b/cassiarail/membership/events.py
@@ -43,8 +43,3 @@
 FEED_SUBSCRIBED = define_event(
     number=5031, level=logging.INFO, summary='gateway subscribed'
 )
-HOST_LIST_FAILED = define_event(
-    number=5040,
-    level=logging.WARNING,
-    summary='host list could not be read; keeping the last one',
-)
--- a/cassiarail/membership/fingerprints.py
+++ b/cassiarail/membership/fingerprints.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from cassiarail.core.events import emit_event
@@ -86,13 +87,9 @@
             crashes=sorted(known.crashes),
         )
 
-    def list_changed(self, after: int, peer: str) -> list[tuple[int, str]]:
-        """Return revision and name of what a peer doesn't hold."""
-        return [
-            (entry.revision, name)
-            for name, entry in self._entries.items()
-            if entry.revision > after and entry.source != peer
-        ]
+    def list_entries(self) -> Iterable[tuple[str, Fingerprint]]:
+        """Return all entries with their names."""
+        return self._entries.items()
 
     def list_quarantined(self) -> frozenset[str]:
         """Return the fingerprints that must not run."""
--- /dev/null
+++ b/cassiarail/platform/exceptions.py
@@ -0,0 +1,27 @@
+"""Define the errors of the platform's services."""
+
+from cassiarail.core.exceptions import CassiarailError
+
+
+class PlatformError(CassiarailError):
+    """Report a service of the platform that failed or sent nonsense."""
+
+    error_id = 'CR6101'
+    code = 'platform_unavailable'
+    status = 503
+
+
+class WeightsMissingError(PlatformError):
+    """Report weights that the weight store doesn't hold."""
+
+    error_id = 'CR6102'
+    code = 'weights_missing'
+    status = 404
+
+
+class WeightStoreBusyError(PlatformError):
+    """Report a weight store that is at its rate limit."""
+
+    error_id = 'CR6103'
+    code = 'weight_store_busy'
+    status = 429
--- a/tests/membership/test_feed.py
+++ b/tests/membership/test_feed.py
@@ -106,6 +106,8 @@
         await anyio.sleep(5)
         assert fleet.client.controller == 'c2'
         assert fleet.client.is_ready()
+        await anyio.sleep(70)
+        assert fleet.client.controller == 'c2'
         fleet.network.kill('c2')
         await anyio.sleep(5)
         assert [state.name for state in fleet.client.snapshot.targets] == [
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -111,6 +111,25 @@
     _run(scenario, count=9)
 
 
+def test_a_restarted_controller_learns_what_it_once_told():
+    """Peers that think it still holds its own news would never send them."""
+
+    async def scenario(fleet):
+        first, second = name_controllers(2)
+        fleet.controllers[first].node.record_crash('request', 'e1', 'i1')
+        fleet.controllers[first].node.record_crash('request', 'e2', 'i2')
+        await anyio.sleep(2)
+        fleet.kill(first)
+        await anyio.sleep(2)
+        fleet.start(first)
+        await anyio.sleep(_LEAVING_BOUND_S)
+        for address in (first, second):
+            table = fleet.controllers[address].node.fingerprints
+            assert table.list_quarantined() == {'request'}
+
+    _run(scenario, count=2)
+
+
 def test_graceful_leave_is_known_at_once():
     """A planned stop must not cost the time of a suspicion."""
 
