--- a/cassiarail/membership/peers.py
+++ b/cassiarail/membership/peers.py
@@ -1,9 +1,10 @@
 """Hold the live controllers of a data centre."""
 
-import random
 from collections.abc import Iterable
 from typing import NamedTuple
 
+import anyio
+
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
 from cassiarail.membership.events import (
@@ -13,7 +14,7 @@
     PEER_REMOVED,
     PEER_SUSPECTED,
 )
-from cassiarail.membership.revisions import Revisions, hash_name
+from cassiarail.membership.revisions import Revisions, hash_name, rank_pair
 
 # Heartbeats advance every 6 s and take up to 6 s to arrive everywhere; a
 # neighbour that fails to answer is suspected at once by announcement.
@@ -23,8 +24,7 @@
 _FORGET_AFTER_S = 600.0
 _WATCHERS = 2
 _LAST_HEARTBEAT = 0xFFFFFFFF
-# A new random neighbour is sent the whole table, so it is kept for long.
-_RANDOM_NEIGHBOUR_S = 60.0
+_PAIRING = 'pairing'
 
 
 class MemberNews(NamedTuple):
@@ -34,6 +34,7 @@
     incarnation: int
     heartbeat: int
     generation: int = 0
+    age_s: float = 0
 
 
 class Peer:
@@ -62,16 +63,15 @@
         address: str,
         clock: Clock,
         revisions: Revisions,
-        generator: random.Random,
         incarnation: int,
     ) -> None:
         """Start with the own member only."""
         self._clock = clock
         self._revisions = revisions
-        self._generator = generator
+        # ``None`` after a change, until the list is asked for.
+        self._live: list[str] | None = None
+        self.live_changed = anyio.Event()
         self._tombstones: dict[str, tuple[int, int, float]] = {}
-        self._random_neighbour = ''
-        self._random_until = float(0)
         self.own = Peer(MemberNews(address, incarnation, 1), clock.monotonic())
         self.own.identity_revision = revisions.advance()
         self.own.heartbeat_revision = self.own.identity_revision
@@ -128,6 +128,7 @@
         if (peer.incarnation, peer.heartbeat) > (incarnation, heartbeat):
             return False
         peer.suspected = True
+        self._forget_live()
         emit_event(PEER_SUSPECTED, peer=address)
         return True
 
@@ -142,6 +143,7 @@
         if peer.incarnation <= incarnation:
             self.peers.pop(address)
             self.by_key.pop(peer.key, None)
+            self._forget_live()
 
     def leave(self, address: str, incarnation: int) -> bool:
         """Remove a member that left; tell whether it was known."""
@@ -169,10 +171,15 @@
                 self._tombstones.pop(address)
 
     def list_live(self) -> list[str]:
-        """Return the live members by rank, the own one included."""
-        live = [peer for peer in self.peers.values() if not peer.suspected]
-        live.sort(key=_order_on_ring)
-        return [peer.address for peer in live]
+        """Return the live members by rank, the own one included.
+
+        The list is shared; don't change it.
+        """
+        if self._live is None:
+            live = [peer for peer in self.peers.values() if not peer.suspected]
+            live.sort(key=_order_on_ring)
+            self._live = [peer.address for peer in live]
+        return self._live
 
     def is_watcher(self) -> bool:
         """Tell whether the own rank is one of the two lowest."""
@@ -181,16 +188,18 @@
     def list_neighbours(self) -> list[str]:
         """Return the members that this node calls each second.
 
-        These are the next one on the ring and, for every other member, a
-        random one. Each node then has exchanges with three neighbours on
-        average; every further link would carry all news once more.
+        These are the next one on the ring and, for one node of each pair, the
+        other one. Pairs follow from a second random order, so that each node
+        has exchanges with three neighbours; every further one would carry all
+        news once more.
         """
         live = self.list_live()
         position = live.index(self.own.address)
-        following = live[(position + 1) % len(live)]
-        chosen = [following]
-        if position % 2 == 0:
-            chosen.append(self._choose_random(live, self.list_ring()))
+        chosen = [live[(position + 1) % len(live)]]
+        shuffled = sorted(live, key=_order_in_pairs)
+        place = shuffled.index(self.own.address)
+        if place % 2 == 0:
+            chosen.extend(shuffled[place + 1 : place + 2])
         return [
             address
             for address in dict.fromkeys(chosen)
@@ -215,6 +224,11 @@
         missing.update(set(self.peers) - live)
         return sorted(missing)
 
+    def _forget_live(self) -> None:
+        self._live = None
+        self.live_changed.set()
+        self.live_changed = anyio.Event()
+
     def _observe_own(self, news: MemberNews) -> bool:
         """Rise above what peers hold of a previous run at this address."""
         if news.incarnation <= self.own.incarnation:
@@ -231,12 +245,13 @@
         return (news.incarnation, news.heartbeat) <= (incarnation, heartbeat)
 
     def _add(self, news: MemberNews, source: str) -> None:
-        peer = Peer(news, self._clock.monotonic())
+        peer = Peer(news, self._clock.monotonic() - news.age_s)
         peer.holders = {source}
         peer.identity_revision = self._revisions.advance()
         peer.heartbeat_revision = peer.identity_revision
         self.peers[news.address] = peer
         self.by_key[peer.key] = peer
+        self._forget_live()
         self._tombstones.pop(news.address, None)
         emit_event(PEER_JOINED, peer=news.address)
 
@@ -244,23 +259,13 @@
         peer.heard_at = self._clock.monotonic()
         if peer.suspected:
             peer.suspected = False
+            self._forget_live()
             emit_event(PEER_REFUTED, peer=peer.address)
 
-    def _choose_random(self, live: list[str], ring: list[str]) -> str:
-        """Return the present random neighbour, or choose another one."""
-        near = {self.own.address, *ring}
-        others = [address for address in live if address not in near]
-        if not others:
-            return self.own.address
-        now = self._clock.monotonic()
-        if now > self._random_until or self._random_neighbour not in others:
-            self._random_neighbour = self._generator.choice(others)
-            self._random_until = now + self._generator.uniform(
-                _RANDOM_NEIGHBOUR_S / 2,
-                _RANDOM_NEIGHBOUR_S,
-            )
-        return self._random_neighbour
-
 
 def _order_on_ring(peer: Peer) -> tuple[int, str]:
     return (peer.key, peer.address)
+
+
+def _order_in_pairs(address: str) -> int:
+    return rank_pair(_PAIRING, address)
