--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -121,7 +121,7 @@
     run_scenario(scenario)
 
 
-async def _order(client, order_id, kind, fence=1, instance='e1#1', **more):
+async def send_order(client, order_id, kind, fence=1, instance='e1#1', **more):
     order = {
         'order_id': order_id,
         'fence': fence,
@@ -135,15 +135,17 @@
 def test_orders_load_check_fences_and_show_overcommitment():
     async def scenario(standins, client):
         load = {'model': 'n', 'version': '1', 'bytes': 500 * GB}
-        assert (await _order(client, 'o1', 'load_model', 2, **load)).is_success
+        assert (
+            await send_order(client, 'o1', 'load_model', 2, **load)
+        ).is_success
         adapter = {
             'model': 'm',
             'version': '1',
             'adapter': 'a',
             'bytes': 50 * GB,
         }
-        await _order(client, 'o2', 'load_adapter', 2, **adapter)
-        stale = await _order(client, 'o3', 'load_model', 1, **load)
+        await send_order(client, 'o2', 'load_adapter', 2, **adapter)
+        stale = await send_order(client, 'o3', 'load_model', 1, **load)
         assert stale.json()['error']['code'] == 'stale_fence'
         await anyio.sleep(5)
         state = (await client.get(f'{ENGINE}/admin/state')).json()
@@ -154,7 +156,7 @@
         }
         assert standins.records.overcommitted_bytes_max() == 0
         more = {'model': 'p', 'version': '1', 'bytes': 100 * GB}
-        await _order(client, 'o4', 'load_model', 2, **more)
+        await send_order(client, 'o4', 'load_model', 2, **more)
         await anyio.sleep(5)
         assert standins.records.overcommitted_bytes_max() == 50 * GB
 
@@ -165,7 +167,9 @@
     async def scenario(standins, client):
         standins.faults.switch_on(FaultName.LATE_ORDERS, Fault(delay_s=8))
         with pytest.raises(httpx.ReadTimeout):
-            await _order(client, 'o1', 'unload_model', model='m', version='1')
+            await send_order(
+                client, 'o1', 'unload_model', model='m', version='1'
+            )
         standins.faults.switch_off(FaultName.LATE_ORDERS)
         assert (await client.get(f'{ENGINE}/admin/state')).json()['held']
         await anyio.sleep(5)
