--- a/cassiarail/standins/service.py
+++ b/cassiarail/standins/service.py
@@ -140,6 +140,8 @@
     async def _read(self, request: Request) -> Response:
         instance = self.instance
         self._require_up(instance)
+        request_id = request.headers.get('x-request-id', '')
+        self._records.receive_work(self.settings.name, instance, request_id)
         if self.is_leaving:
             return answers.refuse('leaving')
         await self._clock.sleep(self.settings.read_s)
