Give roles an effect on the speed of an engine

Change: the roles prefill and decode trade the time of the prefill against that of a step; unknown roles fail the order. Conclusion: roles are visible in first-token and inter-token times.

--- a/cassiarail/standins/application.py
+++ b/cassiarail/standins/application.py
@@ -18,7 +18,7 @@
 from cassiarail.standins.engine_api import EngineApi
 from cassiarail.standins.faults import Faults
 from cassiarail.standins.holdings import AdapterLoads, Held, WeightClient
-from cassiarail.standins.hosts import LEAVING, HostEntry, HostList
+from cassiarail.standins.hosts import LEAVING, LIVE, HostEntry, HostList
 from cassiarail.standins.listeners import Listener
 from cassiarail.standins.objects import ObjectApi
 from cassiarail.standins.records import Records
@@ -155,7 +155,7 @@
     async def _restart_later(self, name: str) -> None:
         await self._clock.sleep(self.settings['restart_s'])
         self.targets[name].restart()
-        self.hosts.set_state(name, 'live')
+        self.hosts.set_state(name, LIVE)
         self._listen(name)
 
     def _listen(self, name: str) -> None:
--- a/cassiarail/standins/batch.py
+++ b/cassiarail/standins/batch.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import types
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -33,6 +34,25 @@
     kv_token_bytes: int = 131_072
 
 
+class RoleFactors(NamedTuple):
+    """Hold the factors by which a role changes the times of an engine."""
+
+    prefill: float
+    step: float
+
+
+# A decoding engine keeps a larger share of each step for tokens.
+_DECODE_STEP = 0.8
+ROLE_BOTH = 'both'
+ROLES = types.MappingProxyType(
+    {
+        ROLE_BOTH: RoleFactors(1, 1),
+        'prefill': RoleFactors(0.5, 2),
+        'decode': RoleFactors(2, _DECODE_STEP),
+    },
+)
+
+
 class Work(NamedTuple):
     """Describe one completion that an engine was asked for."""
 
@@ -133,7 +153,7 @@
         self._waiting: list[tuple[int, int, Generation]] = []
         self._wake = anyio.Event()
         self.speed = speed
-        self.slowdown = float(1)
+        self.role = ROLE_BOTH
         self.running: list[Generation] = []
 
     @property
@@ -149,7 +169,8 @@
 
     def submit(self, generation: Generation, prefill_tokens: int) -> None:
         """Queue a generation; higher priorities begin first."""
-        generation.prefill_s = prefill_tokens * self.speed.prefill_token_s
+        prefill_s = prefill_tokens * self.speed.prefill_token_s
+        generation.prefill_s = prefill_s * ROLES[self.role].prefill
         entry = (-generation.work.priority, next(self._numbers), generation)
         heapq.heappush(self._waiting, entry)
         self._admit()
@@ -199,7 +220,7 @@
 
     def _step_seconds(self) -> float:
         per_request = self.speed.step_per_request_s * len(self.running)
-        return (self.speed.step_s + per_request) * self.slowdown
+        return (self.speed.step_s + per_request) * ROLES[self.role].step
 
     def _step(self) -> None:
         now = self._clock.monotonic()
--- a/cassiarail/standins/engine.py
+++ b/cassiarail/standins/engine.py
@@ -9,7 +9,14 @@
 
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
-from cassiarail.standins.batch import Batch, EngineSpeed, Generation, Work
+from cassiarail.standins.batch import (
+    ROLE_BOTH,
+    ROLES,
+    Batch,
+    EngineSpeed,
+    Generation,
+    Work,
+)
 from cassiarail.standins.events import (
     TARGET_CRASHED,
     TARGET_LEAVING,
@@ -138,6 +145,7 @@
         environment = self.environment
         instance = f'{self.settings.name}#{self._incarnation}'
         self.is_down = False
+        self.batch.role = ROLE_BOTH
         self.is_leaving = False
         self.streams: dict[str, Generation] = {}
         self.holdings = Holdings(
@@ -148,7 +156,9 @@
             environment.records,
             environment.fetch,
             environment.adapter_loads,
-            HoldingsHooks(self.batch.uses, self._forget_prefixes),
+            HoldingsHooks(
+                self.batch.uses, self._forget_prefixes, self._take_role
+            ),
         )
         self.loads = LoadHistory(
             environment.clock, instance, self.settings.report_lag_s
@@ -167,6 +177,12 @@
             self.environment.records.end_run(generation.number, outcome)
         self.streams.clear()
 
+    def _take_role(self, role: str) -> bool:
+        if role not in ROLES:
+            return False
+        self.batch.role = role
+        return True
+
     def _forget_prefixes(self, model: str) -> None:
         if self.holdings.find_version(model) is None:
             self.prefixes.drop_model(model)
--- a/cassiarail/standins/holdings.py
+++ b/cassiarail/standins/holdings.py
@@ -10,6 +10,7 @@
 
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
+from cassiarail.standins.batch import ROLE_BOTH
 from cassiarail.standins.events import MEMORY_OVERCOMMITTED
 from cassiarail.standins.records import Records
 
@@ -71,11 +72,13 @@
     """Connect the holdings with the rest of their engine.
 
     ``is_used`` tells whether a request in progress needs a model, version and
-    adapter; ``on_unload`` is called with a model that is gone.
+    adapter; ``on_unload`` is called with a model that is gone, ``on_role``
+    with a role that is to be taken, and tells whether it is known.
     """
 
     is_used: Callable[[str, str, str], bool]
     on_unload: Callable[[str], None]
+    on_role: Callable[[str], bool]
 
 
 class WeightFetcher(Protocol):
@@ -181,7 +184,7 @@
         self.memory_bytes = memory_bytes
         self.is_closed = False
         self.fence = 0
-        self.role = 'both'
+        self.role = ROLE_BOTH
         self.orders: dict[str, OrderState] = {}
 
     @property
@@ -252,6 +255,8 @@
         if order.kind in {OrderKind.UNLOAD_MODEL, OrderKind.UNLOAD_ADAPTER}:
             return await self._unload(order)
         if order.kind is OrderKind.SET_ROLE:
+            if not self._hooks.on_role(order.role):
+                return 'unknown_role'
             self.role = order.role
         return ''
 
--- a/tests/standins/test_engine_state.py
+++ b/tests/standins/test_engine_state.py
@@ -203,3 +203,28 @@
         assert (await read_state(client))['held'][1]['state'] == 'ready'
 
     run_scenario(scenario)
+
+
+def test_a_role_changes_the_speed_until_the_instance_ends():
+    async def scenario(standins, client):
+        async def measure():
+            started = anyio.current_time()
+            await client.post(COMPLETIONS, json=make_body())
+            return anyio.current_time() - started
+
+        both = await measure()
+        await send_order(client, 'o1', 'set_role', role='decode')
+        assert await measure() < both
+        await send_order(client, 'o2', 'set_role', role='prefill')
+        assert await measure() > 1.5 * both
+        await send_order(client, 'o3', 'set_role', role='unheard-of')
+        states = {
+            part['order_id']: part['state']
+            for part in (await read_state(client))['orders']
+        }
+        assert states == {'o1': 'done', 'o2': 'done', 'o3': 'failed'}
+        standins.crash_target('e1')
+        await anyio.sleep(3)
+        assert (await read_state(client))['role'] == 'both'
+
+    run_scenario(scenario)
