Keep silent connections from blocking the shutdown

Cause: silence() also silenced the lifespan of a server, so that cassiarail-standins did not end on SIGTERM after silent_connections. Change: only HTTP requests are silenced, and a port is forgotten when its connection has closed.

--- a/cassiarail/standins/listeners.py
+++ b/cassiarail/standins/listeners.py
@@ -77,7 +77,7 @@
         self._network.heal()
 
 
-class _SilenceableApplication:
+class SilenceableApplication:
     """Stop answering on chosen connections, which stay open."""
 
     def __init__(self, application: AsgiApplication) -> None:
@@ -97,6 +97,10 @@
         send: Callable[[AsgiMessage], Awaitable[None]],
     ) -> None:
         """Answer one request."""
+        if scope['type'] != 'http':
+            # A silent lifespan would keep the server from shutting down.
+            await self._application(scope, receive, send)
+            return
         peer = tuple(scope.get('client') or ())
 
         async def send_unless_silent(message: AsgiMessage) -> None:  # noqa: WPS430
@@ -112,6 +116,9 @@
             raise
         finally:
             self._open -= collections.Counter((peer,))
+            # A silent request ends when its client has closed the
+            # connection; a later one may have the same port.
+            self._silent.discard(peer)
 
 
 async def _send_truncated(
@@ -146,12 +153,12 @@
         # Hypercorn 0.18 reports each connection that it cancels as an error.
         asyncio.get_running_loop().set_exception_handler(ignore_cancellations)
         self._stopped: dict[str, anyio.Event] = {}
-        self._applications: dict[str, _SilenceableApplication] = {}
+        self._applications: dict[str, SilenceableApplication] = {}
 
     def listen(self, address: str, application: AsgiApplication) -> None:
         """Serve an application at an address such as ``127.0.0.1:9000``."""
         stopped = anyio.Event()
-        silenceable = _SilenceableApplication(application)
+        silenceable = SilenceableApplication(application)
         self._applications[address] = silenceable
         self._stopped[address] = stopped
         self._group.start_soon(self._serve, address, silenceable, stopped)
--- /dev/null
+++ b/tests/standins/test_listeners.py
@@ -0,0 +1,64 @@
+"""Guard what a listener on TCP adds to the stand-ins' applications."""
+
+import anyio
+import pytest
+
+from cassiarail.core.loops import run_virtual
+from cassiarail.standins.answers import BrokenConnectionError
+from cassiarail.standins.listeners import SilenceableApplication
+
+
+async def _never_receive():
+    await anyio.sleep_forever()
+
+
+def test_silence_holds_requests_in_progress_and_not_the_lifespan():
+    """A silenced lifespan kept the program from ending on SIGTERM."""
+    sent = []
+
+    async def application(scope, receive, send):
+        await anyio.sleep(1)
+        await send({'type': scope['type']})
+
+    async def send(message):
+        sent.append(message['type'])
+
+    async def main():
+        silenceable = SilenceableApplication(application)
+        first = {'type': 'http', 'client': ('127.0.0.1', 1)}
+        second = {'type': 'http', 'client': ('127.0.0.1', 2)}
+        async with anyio.create_task_group() as group:
+            for scope in (first, {'type': 'lifespan'}):
+                group.start_soon(silenceable, scope, _never_receive, send)
+            await anyio.sleep(0.5)
+            assert silenceable.silence() == 1
+            await silenceable(second, _never_receive, send)
+            assert sent == ['lifespan', 'http']
+            with anyio.move_on_after(60) as patience:
+                await silenceable(first, _never_receive, send)
+            assert patience.cancelled_caught
+            group.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+def test_a_broken_connection_is_not_answered_as_an_error():
+    sent = []
+
+    async def application(scope, receive, send):
+        raise BrokenConnectionError('answer lost')
+
+    async def send(message):
+        sent.append(message)
+
+    async def main():
+        with pytest.raises(BrokenConnectionError):
+            await SilenceableApplication(application)(
+                {'type': 'http', 'client': ('127.0.0.1', 1)},
+                _never_receive,
+                send,
+            )
+
+    run_virtual(main)
+    assert [message['type'] for message in sent] == ['http.response.start']
+    assert (b'content-length', b'1') in sent[0]['headers']
