--- a/cassiarail/standins/records.py
+++ b/cassiarail/standins/records.py
@@ -4,6 +4,7 @@
 monotonic seconds of the clock that the stand-ins share.
 """
 
+import collections
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any, NamedTuple, TypeVar
 
@@ -15,6 +16,7 @@
 CANCELLED = 'cancelled'
 CRASHED = 'crashed'
 CUT_BY_STOP = 'cut_by_stop'
+_FENCE = 'fence'
 
 _Entry = TypeVar('_Entry')
 
@@ -201,6 +203,12 @@
             if end.outcome == CUT_BY_STOP:
                 yield self.runs[end.number]
 
+    def count_moves(self) -> collections.Counter[str]:
+        """Return the applied orders by kind; a fence moves nothing."""
+        return collections.Counter(
+            order.kind for order in self.orders if order.kind != _FENCE
+        )
+
     def overcommitted_bytes_max(self) -> int:
         """Return the largest excess of held memory over a capacity."""
         excesses = (
--- a/tests/load/test_audit.py
+++ b/tests/load/test_audit.py
@@ -135,6 +135,12 @@
     assert count(records, broken)[0].cut_by_planned_stop == 2
 
 
+def test_moves_leave_out_fences(records):
+    for number, kind in enumerate(('fence', 'load_model', 'load_model')):
+        records.apply_order('e1', 'e1#1', f'o{number}', kind, 1)
+    assert records.count_moves() == {'load_model': 2}
+
+
 def test_records_survive_the_way_to_another_process(records, clock):
     number = records.begin_run('e1', 'e1#1', 'r1', 'print')
     records.end_run(number, CUT_BY_STOP)
