Combine verdicts of all attempts; know leaving targets everywhere

(1) A request whose first attempt ran into a crash was refused at its second one, as a suspect that another trial holds, and the caller was told not run although the first may have run. (2) A gateway sent new work to a target of another data centre that had been leaving for 3.2 to 5.4 s: its state came from status objects only, which the store outage kept back, and the memory of refusals lasted 5 s.

Change: the error of a request carries the strongest verdict of all attempts, and a busy suspect is sent to another target; the load of the targets of all data centres is polled; gateways prefer targets of their own data centre; the retry budget has a burst for the streams that one crash breaks at once.

--- a/cassiarail/controller/loads.py
+++ b/cassiarail/controller/loads.py
@@ -26,16 +26,18 @@
 
 
 class HttpLoadSource(LoadSource):
-    """Poll the targets of one data centre."""
+    """Poll the targets of all data centres.
+
+    Those of other data centres are polled too, since a leaving target must
+    be known within 3 s also while the object API is out.
+    """
 
     def __init__(
         self,
         declarations: DeclarationsSource,
-        data_centre: str,
         transport: httpx.AsyncBaseTransport | None = None,
     ) -> None:
         self._declarations = declarations
-        self._data_centre = data_centre
         self._client = httpx.AsyncClient(
             transport=transport,
             timeout=_TIMEOUT_S,
@@ -70,7 +72,6 @@
             target['name']: _build_url(service['kind'], target['address'])
             for service in services
             for target in service['targets']
-            if target['data_centre'] == self._data_centre
         }
 
 
--- a/cassiarail/controller/process.py
+++ b/cassiarail/controller/process.py
@@ -95,7 +95,6 @@
             self.node,
             HttpLoadSource(
                 self.read_declarations,
-                data_centre,
                 links.create_transport(),
             ),
             clock,
--- a/cassiarail/gateway/adapters.py
+++ b/cassiarail/gateway/adapters.py
@@ -1,10 +1,11 @@
 """Join routing, limits and quarantine to the request path."""
 
 import contextlib
+import functools
 from collections.abc import AsyncIterator, Callable, Sequence
 
 from cassiarail.core.clock import Clock
-from cassiarail.core.exceptions import CassiarailError
+from cassiarail.core.exceptions import CassiarailError, TargetRefusedError
 from cassiarail.gateway.hooks import (
     Admission,
     AttemptOutcome,
@@ -14,12 +15,13 @@
 )
 from cassiarail.gateway.overload import Overload
 from cassiarail.gateway.quarantine import Quarantine, Run
+from cassiarail.limits.suspicion import SuspectBusyError
 from cassiarail.routing.backends.base import RequestNeed, RoutingPolicy
 from cassiarail.routing.snapshot import TargetState
 from cassiarail.routing.table import RoutingTable
 
 _RunContext = contextlib.AbstractAsyncContextManager[Run]
-_WatchedRun = tuple[_RunContext, str]
+_WatchedRun = tuple[_RunContext, Run]
 FindInstance = Callable[[str], str]
 
 
@@ -72,7 +74,9 @@
         policy: RoutingPolicy,
         overload: Overload,
         meter: DemandMeter,
+        data_centre: str,
     ) -> None:
+        self._data_centre = data_centre
         self._table = table
         self._policy = policy
         self._overload = overload
@@ -82,7 +86,9 @@
     @contextlib.asynccontextmanager
     async def admit(self, facts: RequestFacts) -> AsyncIterator[None]:
         """Hold a slot at a target while the request runs."""
-        candidates = self._table.find_candidates(_build_need(facts))
+        candidates = self._prefer_local(
+            self._table.find_candidates(_build_need(facts)),
+        )
         if not candidates:
             # The request path tells the caller that no target can take it.
             yield
@@ -122,10 +128,26 @@
         ]
         return self._policy.choose(
             _build_need(facts),
-            usable or candidates,
+            self._prefer_local(usable or candidates),
             self._table,
         )
 
+    def _prefer_local(
+        self,
+        candidates: Sequence[TargetState],
+    ) -> Sequence[TargetState]:
+        """Return the targets of the own data centre, if there are any.
+
+        What is known of other data centres is older, and a partition may
+        stand between.
+        """
+        local = [
+            state
+            for state in candidates
+            if state.data_centre == self._data_centre
+        ]
+        return local or candidates
+
     def on_sent(self, target: TargetState, facts: RequestFacts) -> None:
         """Count the attempt in flight."""
         self._table.start(target.name)
@@ -186,11 +208,21 @@
 
     async def on_start(self, fingerprint: str, target: str) -> None:
         """Begin to watch an attempt; a suspect may have to wait."""
-        instance = self._instance(target)
-        context = self._quarantine.watch(fingerprint, target, instance)
-        await context.__aenter__()  # noqa: WPS609
+        context = self._quarantine.watch(
+            fingerprint,
+            target,
+            functools.partial(self._instance, target),
+        )
+        try:
+            run = await context.__aenter__()  # noqa: WPS609
+        except SuspectBusyError as error:
+            # Another target may be free of suspects.
+            raise TargetRefusedError(
+                error.message,
+                reason=error.code,
+            ) from error
         runs = self._runs.setdefault(f'{fingerprint}@{target}', [])
-        runs.append((context, instance))
+        runs.append((context, run))
 
     async def on_success(self, fingerprint: str, target: str) -> None:
         """Clear a suspect."""
@@ -199,8 +231,8 @@
 
     async def on_crash(self, fingerprint: str, target: str) -> None:
         """Suspect all requests in flight at the target."""
-        context, instance = self._take(fingerprint, target)
-        await self._quarantine.record_crash(target, instance)
+        context, run = self._take(fingerprint, target)
+        await self._quarantine.record_crash(run)
         await _end_failed(context)
 
     async def on_end(self, fingerprint: str, target: str) -> None:
--- a/cassiarail/gateway/endpoints.py
+++ b/cassiarail/gateway/endpoints.py
@@ -14,7 +14,7 @@
 from cassiarail.core.deadline import TIMEOUT_HEADER, Deadline
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import CassiarailError
-from cassiarail.core.verdict import Verdict
+from cassiarail.core.verdict import Verdict, combine_verdicts
 from cassiarail.declarations.schema import CallerDocument
 from cassiarail.gateway.bodies import read_body
 from cassiarail.gateway.directory import Directory, DirectorySource
@@ -228,6 +228,8 @@
                 failure = error
         group.cancel_scope.cancel()
     if failure is not None:
+        # The last attempt may not have run although an earlier one may have.
+        failure.verdict = combine_verdicts((failure.verdict, verdict()))
         raise failure
     if limit.cancelled_caught:
         raise DeadlineExceededError('deadline passed', verdict=verdict())
--- a/cassiarail/gateway/process.py
+++ b/cassiarail/gateway/process.py
@@ -45,6 +45,11 @@
 
 TransportFactory = Callable[[str], httpx.AsyncBaseTransport]
 _REPORT_INTERVAL_S = 1.0
+_RETRY_SHARE = 0.2
+# One crash of a target breaks all its streams at once; the burst lets those
+# of one gateway resume elsewhere.
+_RETRY_FLOOR_PER_S = 4.0
+_RETRY_BURST = 32.0
 
 
 class GatewayLinks(NamedTuple):
@@ -109,6 +114,7 @@
             policy or AffinityPolicy(generator),
             self.overload,
             self._meter,
+            settings['data_centre'],
         )
         self.application = GatewayApplication(
             GatewayEnvironment(
@@ -127,7 +133,14 @@
                 routed,
                 routed,
                 QuarantineGuard(self.quarantine, self._find_instance),
-                TokenBudget(RetryTokens(clock)),
+                TokenBudget(
+                    RetryTokens(
+                        clock,
+                        share=_RETRY_SHARE,
+                        floor_per_s=_RETRY_FLOOR_PER_S,
+                        burst=_RETRY_BURST,
+                    ),
+                ),
             ),
         )
 
--- a/cassiarail/testbed/deployment.py
+++ b/cassiarail/testbed/deployment.py
@@ -139,7 +139,7 @@
 
     def count_moves(self) -> int:
         """Return the loads and unloads that took effect."""
-        return len(self.standins.records.orders)
+        return sum(self.standins.records.count_moves().values())
 
     async def shut_down(self) -> None:
         """Stop all processes gracefully and wait for their end."""
