--- a/cassiarail/gateway/quarantine.py
+++ b/cassiarail/gateway/quarantine.py
@@ -127,6 +127,8 @@
             self._claims[run.number] = claim
         try:
             yield run
+            # A crash while the peers are told doesn't concern it any more.
+            self._running.pop(run.number, None)
             await self._clear(run)
         finally:
             await self._end(run)
