Keep a failed choice to its own request

Cause: the choice of a target runs when another request frees a slot; an error in it would have reached that request and left the waiting one stuck.

Change: the error is kept and raised to the request whose choice it was. A randomised test cancels requests at any moment and looks for leaked slots.

Conclusion: one request's routing error no longer affects another.

--- a/cassiarail/gateway/overload.py
+++ b/cassiarail/gateway/overload.py
@@ -75,6 +75,7 @@
         self.choose = choose
         self.decided = anyio.Event()
         self.permit: Permit | None = None
+        self.failure: Exception | None = None
 
 
 class Overload:
@@ -155,6 +156,8 @@
         except BaseException:
             self._abandon(ticket)
             raise
+        if waiter.failure is not None:
+            raise waiter.failure
         if waiter.permit is None:
             raise self.estimator.refuse_late()
         return waiter.permit
@@ -204,11 +207,19 @@
                 return
             waiter = ticket.payload
             if self.estimator.check_waited(ticket, waiter.deadline):
-                free = self.limits.list_free(ticket.pool)
-                waiter.permit = Permit(
-                    self._clock, self.limits, waiter.choose(free)
-                )
+                self._grant(ticket)
             waiter.decided.set()
 
+    def _grant(self, ticket: Ticket[_Waiter]) -> None:
+        """Take a slot for a request; a failed choice is its own failure."""
+        waiter = ticket.payload
+        free = self.limits.list_free(ticket.pool)
+        try:
+            target = waiter.choose(free)
+        except Exception as error:
+            waiter.failure = error
+        else:
+            waiter.permit = Permit(self._clock, self.limits, target)
+
     def _choose_idlest(self, names: Sequence[str]) -> str:
         return min(names, key=lambda name: self.limits.find(name).in_flight)
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -1,5 +1,7 @@
 """Guard against lost slots and late admissions."""
 
+import random
+
 import anyio
 import pytest
 
@@ -96,3 +98,74 @@
         assert scene.outcomes == ['on time', 'on time']
 
     run_virtual(scenario)
+
+
+def test_failed_choice_fails_only_its_own_request():
+    # Fails if the request that frees a slot gets another one's error.
+    async def scenario():
+        scene = Scene(slots=1)
+        errors = []
+
+        def choose(names):
+            raise LookupError
+
+        async def send_failing():
+            deadline = Deadline.after(scene.clock, 9)
+            try:
+                async with scene.overload.admit(
+                    'y', 5, deadline, ['a'], choose
+                ):
+                    errors.append('admitted')
+            except LookupError:
+                errors.append('failed')
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(scene.send, 9)
+            await scene.clock.sleep(0.1)
+            group.start_soon(send_failing)
+        assert errors == ['failed']
+        assert scene.outcomes == ['on time']
+        assert scene.in_flight == 0
+
+    run_virtual(scenario)
+
+
+def test_random_load_leaves_nothing_behind():
+    # Fails if a cancellation at any moment leaks a slot or a place in the
+    # queue, or if a limit is exceeded.
+    async def scenario():
+        scene = Scene(slots=2)
+        generator = random.Random(5)
+        names = ('a', 'b', 'c')
+
+        async def send():
+            pool = generator.sample(names, generator.randint(1, 3))
+            timeout_s = generator.uniform(0, 6)
+            deadline = Deadline.after(scene.clock, timeout_s)
+            with anyio.move_on_after(generator.uniform(0, 6)):
+                try:
+                    async with scene.overload.admit(
+                        generator.choice('xyz'),
+                        generator.randint(0, 9),
+                        deadline,
+                        pool,
+                        preferred=pool[: generator.randint(0, 1)],
+                    ) as permit:
+                        slot = scene.overload.limits.find(permit.target)
+                        assert slot.in_flight <= 2
+                        await anyio.sleep(generator.uniform(0, 2))
+                except OverloadedError:
+                    scene.outcomes.append('refused')
+                else:
+                    scene.outcomes.append('answered')
+
+        async with anyio.create_task_group() as group:
+            for _ in range(2000):
+                group.start_soon(send)
+                await anyio.sleep(generator.expovariate(20))
+        assert set(scene.outcomes) == {'refused', 'answered'}
+        assert scene.overload.queued == 0
+        limits = [scene.overload.limits.find(name) for name in names]
+        assert [limit.in_flight for limit in limits] == [0, 0, 0]
+
+    run_virtual(scenario)
