Test that a crash is announced before the retry

Cause: a request that crashes targets must be a suspect before it runs again. Change: a test of the order of the crash guard's calls; the tests share one description of the gateway's environment. Conclusion: the order holds.

--- a/tests/gateway/test_claims_stateful.py
+++ b/tests/gateway/test_claims_stateful.py
@@ -14,24 +14,15 @@
     invariant,
     rule,
 )
-from opentelemetry import trace
-from prometheus_client import CollectorRegistry
 
 from cassiarail.core.clock import MANUAL_START, LoopClock
 from cassiarail.core.loops import VirtualTimeLoop
-from cassiarail.gateway.application import (
-    GatewayApplication,
-    GatewayEnvironment,
-)
-from cassiarail.routing.snapshot import (
-    RoutingSnapshot,
-    TargetKind,
-    TargetState,
-)
+from cassiarail.gateway.application import GatewayApplication
+from cassiarail.routing.snapshot import TargetKind, TargetState
 from cassiarail.standins.network import MemoryTransport, Network
 from tests.gateway.fakes import FakeRegister, FakeStore
 from tests.gateway.test_refusals import FILINGS, make_key
-from tests.gateway.world import KEYS, build_declarations
+from tests.gateway.world import KEYS, build_environment
 
 GATEWAYS = ('g0.test:80', 'g1.test:80', 'g2.test:80')
 SENDS = [make_key(shift) for shift in range(3)]
@@ -65,7 +56,16 @@
         self.told = []
         self.crashed = set()
         self.pending = 0
-        self.declarations = build_declarations()
+        self.targets = [
+            TargetState(
+                register.name,
+                'register',
+                TargetKind.PLAIN,
+                'bex',
+                register.address,
+            )
+            for register in self.registers
+        ]
         started = asyncio.Event()
         self.main = self.loop.create_task(self._main(started))
         self.loop.run_until_complete(started.wait())
@@ -82,29 +82,15 @@
             await anyio.sleep_forever()
 
     def _open_gateway(self, address):
-        targets = tuple(
-            TargetState(
-                register.name,
-                'register',
-                TargetKind.PLAIN,
-                'bex',
-                register.address,
-            )
-            for register in self.registers
-        )
-        gateway = GatewayApplication(
-            GatewayEnvironment(
-                name=address,
-                snapshot=lambda: RoutingSnapshot(1, targets),
-                declarations=lambda: self.declarations,
-                store=self.store,
-                clock=self.clock,
-                generator=random.Random(self.generator.random()),
-                transports=lambda _: MemoryTransport(self.network, address),
-                registry=CollectorRegistry(),
-                tracer=trace.NoOpTracer(),
-            ),
+        environment = build_environment(
+            lambda: self.targets,
+            self.store,
+            self.clock,
+            lambda _: MemoryTransport(self.network, address),
+            seed=self.generator.random(),
+            name=address,
         )
+        gateway = GatewayApplication(environment)
         self.scopes[address] = anyio.CancelScope()
         self.network.listen(address, gateway.asgi)
         self.group.start_soon(self._run_jobs, address, gateway)
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -1,37 +1,28 @@
 """Guard the listeners against ports that are taken and stops that hang."""
 
 import contextlib
-import random
 
 import anyio
 import httpx
 import pytest
-from opentelemetry import trace
 from prometheus_client import CollectorRegistry
 
 from cassiarail.core.clock import LoopClock
 from cassiarail.core.exceptions import SettingsError
 from cassiarail.core.lifecycle import Application
 from cassiarail.core.loops import run_real
-from cassiarail.gateway.application import (
-    GatewayApplication,
-    GatewayEnvironment,
-)
+from cassiarail.gateway.application import GatewayApplication
 from cassiarail.gateway.server import (
     Listener,
     ListenerSettings,
     build_operators_asgi,
 )
-from cassiarail.routing.snapshot import (
-    RoutingSnapshot,
-    TargetKind,
-    TargetState,
-)
+from cassiarail.routing.snapshot import TargetKind, TargetState
 from cassiarail.targets.connections import create_tcp_transport
 from tests.gateway.fakes import FakeEngine, FakeStore
 from tests.gateway.world import (
     KEYS,
-    build_declarations,
+    build_environment,
     chat,
     read_tokens,
 )
@@ -53,41 +44,24 @@
 
     async def main():
         registry = CollectorRegistry()
-        declarations = build_declarations()
+        state = TargetState(
+            'e1',
+            'salzmodell',
+            TargetKind.ENGINE,
+            'bex',
+            '',
+            models=frozenset({'salz'}),
+        )
         engine = FakeEngine('e1', words=('nur ', 'eins'), pause_s=0)
         target = Listener('engine', engine, LOOPBACK)
-        snapshot = RoutingSnapshot(
-            1,
-            (
-                TargetState(
-                    'e1',
-                    'salzmodell',
-                    TargetKind.ENGINE,
-                    'bex',
-                    '',
-                    models=frozenset({'salz'}),
-                ),
-            ),
-        )
-        gateway = GatewayApplication(
-            GatewayEnvironment(
-                'g1',
-                lambda: snapshot._replace(
-                    targets=(
-                        snapshot.targets[0]._replace(
-                            address=f'127.0.0.1:{target.port}',
-                        ),
-                    ),
-                ),
-                lambda: declarations,
-                FakeStore(),
-                LoopClock(),
-                random.Random(1),
-                lambda _: create_tcp_transport(),
-                registry,
-                trace.NoOpTracer(),
-            ),
+        environment = build_environment(
+            lambda: [state._replace(address=f'127.0.0.1:{target.port}')],
+            FakeStore(),
+            LoopClock(),
+            lambda _: create_tcp_transport(),
+            registry,
         )
+        gateway = GatewayApplication(environment)
         callers = Listener('callers', gateway.asgi, LOOPBACK)
         operators = Listener(
             'operators',
@@ -112,7 +86,6 @@
             assert 'cassiarail_gateway_relayed_tokens_total 2.0' in metrics
             await gateway.requests.drain()
             assert (await client.get(f'{base}/readyz')).status_code == 503
-        await gateway.pools.aclose()
 
     run_real(main)
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -5,6 +5,8 @@
 import anyio
 import pytest
 
+from cassiarail.gateway.application import GatewayHooks
+from cassiarail.gateway.hooks import NoCrashGuard
 from tests.gateway.fakes import WORDS, FakeEngine
 from tests.gateway.world import chat, read_tokens, run_world
 
@@ -193,3 +195,33 @@
         assert world.gateway.pools.retired_count == 1
 
     run_world(scenario)
+
+
+def test_a_crash_is_announced_before_the_retry():
+    """A second target must not run a request before it is a suspect."""
+    steps = []
+
+    class Guard(NoCrashGuard):
+        async def on_start(self, fingerprint, target):
+            steps.append(('start', target))
+
+        async def on_crash(self, fingerprint, target):
+            await anyio.sleep(2)
+            steps.append(('crash', target))
+
+        async def on_success(self, fingerprint, target):
+            steps.append(('success', target))
+
+    async def scenario(world, client):
+        world.add(FakeEngine('e1', [(1, 'break')], keeps=False))
+        world.add(FakeEngine('e2'))
+        answer = await client.post('/v1/chat/completions', json=chat(True))
+        assert read_tokens(answer.text) == WHOLE
+
+    run_world(scenario, hooks=GatewayHooks.permissive()._replace(guard=Guard()))
+    assert steps == [
+        ('start', 'e1'),
+        ('crash', 'e1'),
+        ('start', 'e2'),
+        ('success', 'e2'),
+    ]
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -1,6 +1,5 @@
 """Build a gateway with small fake targets on the in-process network."""
 
-import contextlib
 import json
 import random
 
@@ -92,6 +91,24 @@
     }
 
 
+def build_environment(
+    targets, store, clock, transports, registry=None, seed=1, name='g1'
+):
+    """Describe a gateway in front of targets."""
+    declarations = build_declarations()
+    return GatewayEnvironment(
+        name=name,
+        snapshot=lambda: RoutingSnapshot(1, tuple(targets())),
+        declarations=lambda: declarations,
+        store=store,
+        clock=clock,
+        generator=random.Random(seed),
+        transports=transports,
+        registry=registry or CollectorRegistry(),
+        tracer=trace.NoOpTracer(),
+    )
+
+
 class World:
     """Hold the network, the gateway and its targets."""
 
@@ -99,21 +116,17 @@
         self.group = group
         self.network = Network(group)
         self.clock = LoopClock(MANUAL_START)
-        self.declarations = build_declarations()
         self.targets = []
         self.store = store or FakeStore()
         self.transports = []
         self.registry = CollectorRegistry()
-        environment = GatewayEnvironment(
-            name='g1',
-            snapshot=lambda: RoutingSnapshot(1, tuple(self.targets)),
-            declarations=lambda: self.declarations,
-            store=self.store,
-            clock=self.clock,
-            generator=random.Random(seed),
-            transports=self.open_transport,
-            registry=self.registry,
-            tracer=trace.NoOpTracer(),
+        environment = build_environment(
+            lambda: self.targets,
+            self.store,
+            self.clock,
+            self.open_transport,
+            self.registry,
+            seed,
         )
         if limits is not None:
             environment = environment._replace(limits=limits)
@@ -183,12 +196,3 @@
             choice = json.loads(second[5:])['choices'][0]
             text += choice['delta'].get('content', '')
     return ids, text, body.endswith('data: [DONE]\n\n')
-
-
-@contextlib.asynccontextmanager
-async def background(function, *arguments):
-    """Run a function beside the block and cancel it at the end."""
-    async with anyio.create_task_group() as group:
-        group.start_soon(function, *arguments)
-        yield group
-        group.cancel_scope.cancel()
