Identify attempts to the crash guard and keep verdicts across its refusals

Cause: the quarantine tells attempts apart by instance and request, which the hook did not pass; and a refusal of the guard after an attempt said not-run although that attempt may have run. Change: GuardedRun, list_usable and an on_end that always follows on_start; request errors take the strongest verdict of the attempts before them.

--- a/cassiarail/gateway/attempts.py
+++ b/cassiarail/gateway/attempts.py
@@ -12,6 +12,7 @@
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import (
     CassiarailError,
+    RequestError,
     TargetError,
     TargetRefusedError,
 )
@@ -101,7 +102,7 @@
         self._verdicts.append(Verdict.MAY_HAVE_RUN)
         try:
             yield
-        except TargetError as error:
+        except (RequestError, TargetError) as error:
             self._verdicts[position] = error.verdict
             raise
         self._verdicts[position] = Verdict.RAN
@@ -110,6 +111,10 @@
         """Return the strongest verdict so far."""
         return combine_verdicts(self._verdicts)
 
+    def combined_with(self, error: CassiarailError) -> Verdict:
+        """Return the strongest verdict of the attempts and an error."""
+        return combine_verdicts((*self._verdicts, error.verdict))
+
 
 class AttemptPlan:
     """Choose the targets of one request and pace its attempts."""
--- a/cassiarail/gateway/chat.py
+++ b/cassiarail/gateway/chat.py
@@ -52,7 +52,6 @@
         caller, directory = self.authenticate(call)
         request = parse_chat(await self.read_body(call))
         job = self._prepare(call, request, caller, directory)
-        await self._completions.attempts.guard.check(job.facts.fingerprint)
         call.running.caller = caller['name']
         stream = CompletionStream(self._completions, job)
         try:
--- a/cassiarail/gateway/completions.py
+++ b/cassiarail/gateway/completions.py
@@ -2,7 +2,13 @@
 
 import contextlib
 import functools
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Mapping,
+    Sequence,
+)
 from typing import Any, NamedTuple
 
 import anyio
@@ -13,6 +19,7 @@
     ConnectFailedError,
     ConnectionLostError,
     IdleTimeoutError,
+    RequestError,
     TargetError,
     TargetRefusedError,
 )
@@ -28,7 +35,7 @@
     TARGET_CONNECTION_LOST,
     TARGET_SILENT,
 )
-from cassiarail.gateway.hooks import RequestFacts
+from cassiarail.gateway.hooks import GuardedRun, RequestFacts
 from cassiarail.gateway.relay import EventCursor
 from cassiarail.routing.snapshot import TargetKind, TargetState
 from cassiarail.targets.backends.base import Hop
@@ -88,7 +95,18 @@
         Raises ``RequestError`` where no attempt may be made any more, and
         ``TargetRejectedError`` where every target would answer the same.
         """
+        try:
+            await self._run_attempts(deliver)
+        except (RequestError, TargetRejectedError) as error:
+            # The error may know only of the last attempt.
+            error.verdict = self.plan.verdicts.combined_with(error)
+            raise
+        self._tools.attempts.budget.record_success()
+
+    async def _run_attempts(self, deliver: Deliver) -> None:
+        guard = self._tools.attempts.guard
         while not self.cursor.is_complete:
+            await guard.check(self._job.facts.fingerprint)
             target = await self.plan.next_target(self._find_candidates())
             try:
                 await self._attempt(target, deliver)
@@ -96,19 +114,22 @@
                 raise
             except TargetError as error:
                 self.plan.note_failure(target, error)
-        self._tools.attempts.budget.record_success()
 
-    def _find_candidates(self) -> list[TargetState]:
+    def _find_candidates(self) -> Sequence[TargetState]:
         facts = self._job.facts
         snapshot = self._tools.attempts.snapshot()
         adapter = f'{facts.model}/{facts.adapter}' if facts.adapter else ''
-        return [
+        candidates = [
             target
             for target in snapshot.find_targets(facts.service)
             if target.kind is TargetKind.ENGINE
             and facts.model in target.models
             and (not adapter or adapter in target.adapters)
         ]
+        return self._tools.attempts.guard.list_usable(
+            facts.fingerprint,
+            candidates,
+        )
 
     async def _attempt(self, target: TargetState, deliver: Deliver) -> None:
         facts = self._job.facts
@@ -135,20 +156,26 @@
     ) -> AsyncIterator[None]:
         """Report to the crash guard, and cancel what the engine still runs."""
         guard = self._tools.attempts.guard
-        fingerprint = self._job.facts.fingerprint
-        await guard.on_start(fingerprint, target.name)
+        run = GuardedRun(
+            self._job.facts.fingerprint,
+            hop.request_id,
+            target.name,
+            target.instance,
+        )
+        await guard.on_start(run)
         try:
             yield
-        except ConnectionLostError:
-            await guard.on_crash(fingerprint, target.name)
-            raise
         except BaseException as error:
             if not _certainly_idle(error):
                 self._cancel_later(target, hop)
-            with anyio.CancelScope(shield=True):
-                await guard.on_end(fingerprint, target.name)
+            if isinstance(error, ConnectionLostError):
+                await guard.on_crash(run)
             raise
-        await guard.on_success(fingerprint, target.name)
+        else:
+            await guard.on_success(run)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await guard.on_end(run)
 
     def _cancel_later(self, target: TargetState, hop: Hop) -> None:
         self._tools.jobs.submit(
--- a/cassiarail/gateway/hooks.py
+++ b/cassiarail/gateway/hooks.py
@@ -84,34 +84,59 @@
         """Note the end of an attempt; follows each ``on_sent`` once."""
 
 
+class GuardedRun(NamedTuple):
+    """Identify an attempt at an instance of a target.
+
+    One request makes several attempts, one after the other; requests with
+    the same fingerprint may run at the same time.
+    """
+
+    fingerprint: str
+    request_id: str
+    target: str
+    instance: str
+
+
 class CrashGuard(abc.ABC):
-    """Keep requests that crash targets away from further targets."""
+    """Keep requests that crash targets away from further targets.
+
+    Each ``on_start`` that returns is followed by ``on_success`` or
+    ``on_crash`` or neither, and then always by ``on_end``.
+    """
 
     @abc.abstractmethod
     async def check(self, fingerprint: str) -> None:
         """Raise a ``RequestError`` if the fingerprint is quarantined."""
 
+    def list_usable(
+        self,
+        fingerprint: str,
+        candidates: Sequence[TargetState],
+    ) -> Sequence[TargetState]:
+        """Return the targets on which a request may run at present."""
+        return candidates
+
     @abc.abstractmethod
-    async def on_start(self, fingerprint: str, target: str) -> None:
-        """Note that a request is about to run on a target.
+    async def on_start(self, run: GuardedRun) -> None:
+        """Note that an attempt is about to be sent.
 
         May wait, or raise ``TargetRefusedError`` to send it to another one.
         """
 
     @abc.abstractmethod
-    async def on_success(self, fingerprint: str, target: str) -> None:
-        """Note that a request was answered in full."""
+    async def on_success(self, run: GuardedRun) -> None:
+        """Note that the request was answered in full."""
 
     @abc.abstractmethod
-    async def on_crash(self, fingerprint: str, target: str) -> None:
-        """Note that the target crashed while the request ran there.
+    async def on_crash(self, run: GuardedRun) -> None:
+        """Note that the target crashed during the attempt.
 
         Returns when the suspicion has been announced; no retry or response
         is sent before that.
         """
 
-    async def on_end(self, fingerprint: str, target: str) -> None:
-        """Note an end that tells nothing, such as a cancellation."""
+    async def on_end(self, run: GuardedRun) -> None:
+        """Note that the attempt is over, whatever came of it."""
 
 
 class RetryBudget(abc.ABC):
@@ -176,13 +201,13 @@
     async def check(self, fingerprint: str) -> None:
         """Accept the request."""
 
-    async def on_start(self, fingerprint: str, target: str) -> None:
+    async def on_start(self, run: GuardedRun) -> None:
         """Ignore the start."""
 
-    async def on_success(self, fingerprint: str, target: str) -> None:
+    async def on_success(self, run: GuardedRun) -> None:
         """Ignore the success."""
 
-    async def on_crash(self, fingerprint: str, target: str) -> None:
+    async def on_crash(self, run: GuardedRun) -> None:
         """Ignore the crash."""
 
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cassiarail.gateway.application import GatewayHooks
+from cassiarail.gateway.exceptions import ForbiddenError
 from cassiarail.gateway.hooks import NoCrashGuard
 from tests.gateway.fakes import WORDS, FakeEngine
 from tests.gateway.world import chat, read_tokens, run_world
@@ -202,15 +203,18 @@
     steps = []
 
     class Guard(NoCrashGuard):
-        async def on_start(self, fingerprint, target):
-            steps.append(('start', target))
+        async def on_start(self, run):
+            steps.append(('start', run.target))
 
-        async def on_crash(self, fingerprint, target):
+        async def on_crash(self, run):
             await anyio.sleep(2)
-            steps.append(('crash', target))
+            steps.append(('crash', run.target))
 
-        async def on_success(self, fingerprint, target):
-            steps.append(('success', target))
+        async def on_success(self, run):
+            steps.append(('success', run.target))
+
+        async def on_end(self, run):
+            steps.append(('end', run.target))
 
     async def scenario(world, client):
         world.add(FakeEngine('e1', [(1, 'break')], keeps=False))
@@ -222,6 +226,34 @@
     assert steps == [
         ('start', 'e1'),
         ('crash', 'e1'),
+        ('end', 'e1'),
         ('start', 'e2'),
         ('success', 'e2'),
+        ('end', 'e2'),
     ]
+
+
+def test_a_quarantine_after_an_attempt_does_not_say_not_run():
+    """The guard knows nothing of the attempts before its refusal."""
+
+    class Guard(NoCrashGuard):
+        crashes = 0
+
+        async def check(self, fingerprint):
+            if self.crashes:
+                raise ForbiddenError('quarantined')
+
+        async def on_crash(self, run):
+            self.crashes += 1
+
+    async def scenario(world, client):
+        world.add(FakeEngine('e1', [(0, 'break')], keeps=False))
+        second = world.add(FakeEngine('e2'))
+        answer = await client.post('/v1/chat/completions', json=chat())
+        assert answer.status_code == 403
+        assert answer.headers['x-verdict'] == 'may-have-run'
+        answer = await client.post('/v1/chat/completions', json=chat())
+        assert answer.headers['x-verdict'] == 'not-run'
+        assert not second.requests
+
+    run_world(scenario, hooks=GatewayHooks.permissive()._replace(guard=Guard()))
