Let the endpoint refuse large headers

Cause: hypercorn refused headers above 16 KiB itself, without a verdict. Change: its bound is 64 KiB; the endpoint's stays 16 KiB.

--- a/cassiarail/gateway/server.py
+++ b/cassiarail/gateway/server.py
@@ -25,6 +25,9 @@
 
 ReadinessProbe = Callable[[], bool]
 _BACKLOG = 1024
+# Above the limit of the endpoints, whose refusal carries a verdict; hypercorn's
+# own refusal doesn't.
+_HEADER_LIMIT = 65_536
 _GRACE_S = 3
 _KEEP_ALIVE_S = 75
 _KEEP_ALIVE_REQUESTS = 100_000
@@ -36,7 +39,7 @@
     host: str
     port: int
     tls: TlsFiles | None = None
-    header_bytes: int = 16_384
+    header_bytes: int = _HEADER_LIMIT
 
 
 class Listener(Component):
