Join the finished request path, routing and quarantine

Cause: both parts changed their interfaces last; loads went out in the order of names, so that second copies used up the weight store's two loads a second while models without any copy waited.

Change: the guard follows each attempt by its identity and ends exactly once; admission prefers the homes of a prefix; moves of the models with the fewest replicas in the fleet come first.

--- a/cassiarail/gateway/adapters.py
+++ b/cassiarail/gateway/adapters.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 from collections.abc import AsyncIterator, Callable, Sequence
+from typing import NamedTuple
 
 from cassiarail.core.clock import Clock
 from cassiarail.core.exceptions import CassiarailError, TargetRefusedError
@@ -10,6 +11,7 @@
     Admission,
     AttemptOutcome,
     CrashGuard,
+    GuardedRun,
     RequestFacts,
     TargetChooser,
 )
@@ -21,10 +23,15 @@
 from cassiarail.routing.table import RoutingTable
 
 _RunContext = contextlib.AbstractAsyncContextManager[Run]
-_WatchedRun = tuple[_RunContext, Run]
 FindInstance = Callable[[str], str]
 
 
+class _Watched(NamedTuple):
+    context: _RunContext
+    attempt: Run
+    succeeded: bool = False
+
+
 class DemandMeter:
     """Average the concurrent requests of each model between two readings.
 
@@ -103,6 +110,7 @@
                 facts.deadline,
                 tuple(states),
                 _Choice(self._policy, self._table, facts, states),
+                self._policy.list_homes(_build_need(facts), candidates),
             ) as permit:
                 self._granted[facts.request_id] = permit.target
                 yield
@@ -200,53 +208,57 @@
         """Take the function that names the present instance of a target."""
         self._quarantine = quarantine
         self._instance = instance
-        self._runs: dict[str, list[_WatchedRun]] = {}
+        self._watched: dict[GuardedRun, _Watched] = {}
 
     async def check(self, fingerprint: str) -> None:
         """Refuse a quarantined request."""
         self._quarantine.check(fingerprint)
 
-    async def on_start(self, fingerprint: str, target: str) -> None:
+    def list_usable(
+        self,
+        fingerprint: str,
+        candidates: Sequence[TargetState],
+    ) -> Sequence[TargetState]:
+        """Return the targets that no other suspect holds."""
+        usable = self._quarantine.list_usable(
+            fingerprint,
+            [state.name for state in candidates],
+        )
+        return [state for state in candidates if state.name in usable]
+
+    async def on_start(self, run: GuardedRun) -> None:
         """Begin to watch an attempt; a suspect may have to wait."""
         context = self._quarantine.watch(
-            fingerprint,
-            target,
-            functools.partial(self._instance, target),
+            run.fingerprint,
+            run.target,
+            functools.partial(self._instance, run.target),
         )
         try:
-            run = await context.__aenter__()  # noqa: WPS609
+            attempt = await context.__aenter__()  # noqa: WPS609
         except SuspectBusyError as error:
             # Another target may be free of suspects.
             raise TargetRefusedError(
                 error.message,
                 reason=error.code,
             ) from error
-        runs = self._runs.setdefault(f'{fingerprint}@{target}', [])
-        runs.append((context, run))
+        self._watched[run] = _Watched(context, attempt)
 
-    async def on_success(self, fingerprint: str, target: str) -> None:
+    async def on_success(self, run: GuardedRun) -> None:
         """Clear a suspect."""
-        context, _ = self._take(fingerprint, target)
-        await context.__aexit__(None, None, None)  # noqa: WPS609
+        watched = self._watched[run]
+        self._watched[run] = watched._replace(succeeded=True)
 
-    async def on_crash(self, fingerprint: str, target: str) -> None:
+    async def on_crash(self, run: GuardedRun) -> None:
         """Suspect all requests in flight at the target."""
-        context, run = self._take(fingerprint, target)
-        await self._quarantine.record_crash(run)
-        await _end_failed(context)
-
-    async def on_end(self, fingerprint: str, target: str) -> None:
-        """Stop to watch an attempt that tells nothing."""
-        context, _ = self._take(fingerprint, target)
-        await _end_failed(context)
-
-    def _take(self, fingerprint: str, target: str) -> _WatchedRun:
-        key = f'{fingerprint}@{target}'
-        runs = self._runs[key]
-        taken = runs.pop()
-        if not runs:
-            self._runs.pop(key)
-        return taken
+        await self._quarantine.record_crash(self._watched[run].attempt)
+
+    async def on_end(self, run: GuardedRun) -> None:
+        """Stop to watch an attempt; only a success clears its request."""
+        watched = self._watched.pop(run)
+        if watched.succeeded:
+            await watched.context.__aexit__(None, None, None)  # noqa: WPS609
+        else:
+            await _end_failed(watched.context)
 
 
 class _AttemptEndedError(CassiarailError):
--- a/cassiarail/placement/backends/local.py
+++ b/cassiarail/placement/backends/local.py
@@ -1,10 +1,12 @@
 """Plan the targets of one data centre within the whole fleet."""
 
+import collections
 from collections.abc import Callable
 
 from cassiarail.declarations.schema import DeclarationsDocument
 from cassiarail.placement.backends.base import (
     ModelNeed,
+    Move,
     PlacementInput,
     PlacementPolicy,
     Plan,
@@ -49,9 +51,29 @@
             for need in situation.models
         ]
         models = tuple(need for need in localised if _is_local(need, held))
-        return self._inner.plan(
+        plan = self._inner.plan(
             situation._replace(models=models, targets=targets),
         )
+        return plan._replace(moves=_order_by_exposure(plan.moves, situation))
+
+
+def _order_by_exposure(
+    moves: tuple[Move, ...],
+    situation: PlacementInput,
+) -> tuple[Move, ...]:
+    """Put first the moves of models with the fewest replicas in the fleet.
+
+    The weight store allows about two loads a second, so that the order
+    decides how long a model stays unreachable after targets crashed.
+    """
+    replicas = collections.Counter(
+        key.model
+        for target in situation.targets
+        if not target.leaving
+        for key in target.held
+        if not key.adapter
+    )
+    return tuple(sorted(moves, key=lambda move: replicas[move.key.model]))
 
 
 def _is_local(need: ModelNeed, held: set[str]) -> bool:
