Describe which nodes have a generation in force

Cause: nothing joined the members' generations to the rollout, and reports of gateways had no way into the quarantine table.

Conclusion: the rollout names nodes in force, behind and unreachable.

--- a/cassiarail/control/configuration.py
+++ b/cassiarail/control/configuration.py
@@ -29,6 +29,7 @@
     DeclarationsDocument,
 )
 from cassiarail.membership.bundles import BundleHistory
+from cassiarail.membership.peers import MemberStatus
 from cassiarail.membership.ports import ConfigurationPort
 from cassiarail.membership.protos import peers_pb2 as pb
 from cassiarail.store.backends.base import ObjectStore, StoredObject, WatchBatch
@@ -84,14 +85,6 @@
         self.current = current
 
 
-class MemberGeneration(NamedTuple):
-    """Tell which generation a node was last known to have in force."""
-
-    address: str
-    generation: int
-    reachable: bool
-
-
 class Rollout(NamedTuple):
     """Tell which nodes have a generation in force."""
 
@@ -103,7 +96,7 @@
 
 def describe_rollout(
     generation: int,
-    members: Iterable[MemberGeneration],
+    members: Iterable[MemberStatus],
 ) -> Rollout:
     """Sort nodes by whether they have a generation in force."""
     known = tuple(members)
--- a/cassiarail/controller/feed.py
+++ b/cassiarail/controller/feed.py
@@ -7,6 +7,7 @@
 from cassiarail.core.clock import Clock
 from cassiarail.declarations.schema import ConfigurationDocument
 from cassiarail.membership.backends.base import FeedService
+from cassiarail.membership.exchange import MembershipNode
 from cassiarail.membership.protos import peers_pb2 as pb
 from cassiarail.membership.rows import (
     encode_target,
@@ -96,3 +97,15 @@
         if self._packed_generation > generation:
             update.configuration = self._packed
         return update
+
+
+def record_fingerprints(node: MembershipNode, report: pb.GatewayReport) -> None:
+    """Record and announce the crashes and successes that a report tells."""
+    for suspicion in report.suspicions:
+        node.record_crash(
+            suspicion.fingerprint,
+            suspicion.target,
+            suspicion.instance,
+        )
+    for fingerprint in report.cleared:
+        node.record_success(fingerprint)
--- a/cassiarail/membership/peers.py
+++ b/cassiarail/membership/peers.py
@@ -37,6 +37,14 @@
     age_s: float = 0
 
 
+class MemberStatus(NamedTuple):
+    """Tell which generation a node was last known to have in force."""
+
+    address: str
+    generation: int
+    reachable: bool
+
+
 class Peer:
     """Hold what is known of one member."""
 
@@ -224,6 +232,19 @@
         missing.update(set(self.peers) - live)
         return sorted(missing)
 
+    def describe_members(self, seeds: Iterable[str]) -> list[MemberStatus]:
+        """Return all members, and the seeds that aren't among them."""
+        known = [
+            MemberStatus(peer.address, peer.generation, not peer.suspected)
+            for peer in self.peers.values()
+        ]
+        unknown = set(seeds) - set(self.peers)
+        known.extend(
+            MemberStatus(address, generation=0, reachable=False)
+            for address in unknown
+        )
+        return sorted(known)
+
     def _forget_live(self) -> None:
         self._live = None
         self.live_changed.set()
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -3,6 +3,10 @@
 import anyio
 import pytest
 
+from cassiarail.control.configuration import (
+    apply_configuration,
+    describe_rollout,
+)
 from cassiarail.core.clock import MANUAL_START, LoopClock
 from cassiarail.core.loops import run_virtual
 from cassiarail.membership.peers import (
@@ -45,6 +49,23 @@
     }
 
 
+def test_operators_see_which_nodes_have_a_generation():
+    """A node that is behind or gone must not be reported as up to date."""
+
+    async def scenario(fleet):
+        gone, *others = name_controllers(5)
+        fleet.kill(gone)
+        await apply_configuration(fleet.store, 0, {}, 'ana', 't', fleet.clock)
+        await anyio.sleep(_NOTICED_S)
+        peers = fleet.controllers[others[0]].node.peers
+        rollout = describe_rollout(1, peers.describe_members(fleet.seeds))
+        assert rollout.in_force == tuple(others)
+        assert not rollout.behind
+        assert rollout.unreachable == (gone,)
+
+    _run(scenario, count=5)
+
+
 def test_half_of_the_controllers_die_at_once():
     """Survivors that keep dead members would leave targets unpolled."""
 
