Measure the processor time of gRPC exchanges

Cause: the processor share was measured with the transport in memory only.

Change: exchanges over loopback are measured by themselves and added to the share that is compared with the limit.

--- a/cassiarail/membership/measure.py
+++ b/cassiarail/membership/measure.py
@@ -19,6 +19,7 @@
 from cassiarail.core.clock import MANUAL_START, LoopClock
 from cassiarail.core.loops import run_virtual
 from cassiarail.declarations.schema import DeclarationsDocument
+from cassiarail.membership.loopback import measure_grpc_ms
 from cassiarail.membership.simulation import (
     SimulatedController,
     SimulatedFleet,
@@ -41,6 +42,7 @@
 _ADAPTER_BYTES = 100_000_000
 _ACCELERATOR_BYTES = 40_000_000_000
 _MILLISECONDS = 1000
+_GRPC_CALLS = 500
 _LEAVING_TARGETS = 10
 _MOST = 0.95
 _HALF = 0.5
@@ -60,6 +62,7 @@
     largest_bytes: int
     cpu_share: float
     cpu_ms_per_exchange: float
+    grpc_cpu_ms_per_exchange: float
     exchanges_per_second: float
     store_calls_per_second: float
     members_known_s: float
@@ -136,6 +139,7 @@
             ),
             cpu_share=cpu_share,
             cpu_ms_per_exchange=cpu_share / exchanges * _MILLISECONDS,
+            grpc_cpu_ms_per_exchange=0,
             exchanges_per_second=exchanges,
             store_calls_per_second=(after.calls - before.calls) / self._seconds,
             members_known_s=members_known_s,
@@ -326,8 +330,17 @@
 def measure(
     controllers: int, targets: int, seconds: float, seed: int
 ) -> Measurement:
-    """Run one fleet in virtual time and return its figures."""
-    return run_virtual(Measuring(controllers, targets, seconds).run, seed)
+    """Run one fleet in virtual time and return its figures.
+
+    The fleet uses the transport in memory; the processor time of gRPC is
+    measured by itself on loopback and added to the share.
+    """
+    measured = run_virtual(Measuring(controllers, targets, seconds).run, seed)
+    grpc_ms = measure_grpc_ms(_GRPC_CALLS)
+    measured['grpc_cpu_ms_per_exchange'] = grpc_ms
+    per_second_ms = grpc_ms * measured['exchanges_per_second']
+    measured['cpu_share'] += per_second_ms / _MILLISECONDS
+    return measured
 
 
 def main(
