Begin demos with the models that the targets already hold

Cause: the demo loaded every model through the weight store's two loads a second before the load began, 20 s of its 60.

Change: engines of the testbed hold the base replicas from the start, as inherited targets do; the demo sends shorter answers at a lower rate.

--- a/cassiarail/commands/demo.py
+++ b/cassiarail/commands/demo.py
@@ -1,5 +1,6 @@
 """Define the program ``cassiarail-demo``."""
 
+import logging as standard_logging
 import pathlib
 import resource
 import sys
@@ -18,6 +19,8 @@
 _DEFAULT_FOLDER = pathlib.Path('examples/salines')
 _DEFAULT_REPORT = pathlib.Path('out/demo.json')
 _KIBIBYTE = 1024
+# All parts share one core here, so answers are short.
+_TOKENS_MAX = 12
 
 
 @program.command()
@@ -31,8 +34,8 @@
         typer.Option(help='Report to write.'),
     ] = _DEFAULT_REPORT,
     seed: Annotated[int, typer.Option(help='Seed of load and faults.')] = 1,
-    seconds: Annotated[float, typer.Option(help='Duration of load.')] = 24,
-    rate: Annotated[float, typer.Option(help='Requests a second.')] = 40,
+    seconds: Annotated[float, typer.Option(help='Duration of load.')] = 30,
+    rate: Annotated[float, typer.Option(help='Requests a second.')] = 28,
     faults: Annotated[int, typer.Option(help='Number of faults.')] = 12,
     break_promise: Annotated[
         FaultName | None,
@@ -42,12 +45,14 @@
 ) -> None:
     """Run a deployment with bursts and faults; exit 1 on a broken promise."""
     logging.set_verbosity(logging.FATAL)
+    standard_logging.getLogger('grpclib').setLevel(standard_logging.CRITICAL)
     settings = RunSettings(
         folder,
         seed,
         seconds,
         rate,
         faults=faults,
+        tokens_max=_TOKENS_MAX,
         breakages=(break_promise,) if break_promise else (),
     )
     started_at = time.process_time()
--- a/cassiarail/testbed/layout.py
+++ b/cassiarail/testbed/layout.py
@@ -1,6 +1,7 @@
 """Derive the settings of all processes from declarations."""
 
 import ipaddress
+import itertools
 from typing import NamedTuple
 
 from cassiarail.conf.schema import (
@@ -10,8 +11,13 @@
 )
 from cassiarail.declarations.schema import DeclarationsDocument
 from cassiarail.load.scenario import ScenarioDocument
+from cassiarail.placement.backends.base import ModelNeed
+from cassiarail.placement.demand import Forecast
+from cassiarail.placement.homes import assign_homes
+from cassiarail.placement.needs import build_need, list_rooms
 from cassiarail.standins.settings import (
     EntryHostDocument,
+    HeldDocument,
     PlatformAddresses,
     StandinsDocument,
     derive_settings,
@@ -54,6 +60,7 @@
         control_address=_address(network, _PLATFORM_HOST + 3, _PORT),
     )
     standins = derive_settings(declarations, platform, seed)
+    standins['held'].extend(list_held(declarations))
     store_url = f'http://{platform["objects_address"]}'
     layout = Layout(standins, [], [], store_url)
     host = _ENTRY_HOST
@@ -64,6 +71,43 @@
     return layout
 
 
+def list_held(declarations: DeclarationsDocument) -> list[HeldDocument]:
+    """Return the base replicas as held from the start.
+
+    A deployment takes over targets that already serve their models.
+    """
+    needs = {
+        model['name']: build_need(declarations, model, Forecast(0, 0))
+        for model in declarations['models']
+    }
+    homes = assign_homes(needs.values(), list_rooms(declarations))
+    held = []
+    for name, seats in homes.seats.items():
+        need = needs[name]
+        for target in itertools.chain.from_iterable(seats.values()):
+            held.append(_hold(target, need, '', need.bytes))
+            held.extend(
+                _hold(target, need, adapter, size)
+                for adapter, size in need.adapters.items()
+            )
+    return held
+
+
+def _hold(
+    target: str,
+    need: ModelNeed,
+    adapter: str,
+    size: int,
+) -> HeldDocument:
+    return HeldDocument(
+        target=target,
+        model=need.key.model,
+        version=need.key.version,
+        adapter=adapter,
+        bytes=size,
+    )
+
+
 def derive_scenario(
     declarations: DeclarationsDocument,
     layout: Layout,
@@ -71,6 +115,7 @@
     duration_s: float,
     requests_per_second: float,
     policy: str,
+    tokens_max: int = 40,
 ) -> ScenarioDocument:
     """Return a bursty load over all models of a deployment."""
     fleet = declarations['fleet']
@@ -106,7 +151,7 @@
             'prefixes': 4,
             'prefix_characters': 400,
             'max_tokens_min': 4,
-            'max_tokens_max': 40,
+            'max_tokens_max': tokens_max,
             'stream_share': 0.6,
         },
         service=plain[0]['name'],
--- a/cassiarail/testbed/runner.py
+++ b/cassiarail/testbed/runner.py
@@ -49,6 +49,7 @@
     requests_per_second: float = 40.0
     hosts_per_data_centre: int = 2
     faults: int = 14
+    tokens_max: int = 40
     breakages: tuple[FaultName, ...] = ()
 
 
@@ -137,6 +138,7 @@
             duration_s=settings.duration_s,
             requests_per_second=settings.requests_per_second,
             policy=AffinityPolicy.name,
+            tokens_max=settings.tokens_max,
         )
         self._monitor = Monitor(deployment, clock)
         self._disturbances = Disturbances(
