--- a/cassiarail/control/inventory.py
+++ b/cassiarail/control/inventory.py
@@ -15,7 +15,6 @@
     LOADS,
     LedgerDocument,
     TargetShape,
-    change_instance,
     find_sends,
     format_key,
     hold,
@@ -219,13 +218,25 @@
                 target=ledger['target'],
                 instance=report['instance'],
             )
-        current = change_instance(current, report['instance'])
+        current = _change_instance(current, report['instance'])
     current = resolve(current, void_orders)
     current = resolve(current, _find_resolved(current, report))
     current = _hold_shown(current, report, kv_reserve)
     return _release_gone(current, report)
 
 
+def _change_instance(ledger: LedgerDocument, instance: str) -> LedgerDocument:
+    """Note a new instance, at which no earlier order can take effect."""
+    sends = {
+        order_id: send
+        for order_id, send in ledger['sends'].items()
+        if send['instance'] == instance
+    }
+    return LedgerDocument(
+        **{**ledger, 'instance': instance, 'sends': sends},
+    )
+
+
 def _find_resolved(
     ledger: LedgerDocument,
     report: EngineReport,
--- a/cassiarail/control/ledger.py
+++ b/cassiarail/control/ledger.py
@@ -287,15 +287,19 @@
     return LedgerDocument(**{**ledger, 'fence': fence})
 
 
-def change_instance(ledger: LedgerDocument, instance: str) -> LedgerDocument:
-    """Note a new instance, at which no earlier order can take effect."""
-    sends = {
-        order_id: send
-        for order_id, send in ledger['sends'].items()
-        if send['instance'] == instance
-    }
+def reshape(ledger: LedgerDocument, shape: TargetShape) -> LedgerDocument:
+    """Follow a changed declaration of the target.
+
+    Capacity never falls below what is charged; nothing more can be reserved
+    then.
+    """
+    capacity_bytes = max(shape.capacity_bytes, sum_charges(ledger))
     return LedgerDocument(
-        **{**ledger, 'instance': instance, 'sends': sends},
+        **{
+            **ledger,
+            'capacity_bytes': capacity_bytes,
+            'checks_fence': shape.checks_fence,
+        },
     )
 
 
--- a/cassiarail/control/ledgers.py
+++ b/cassiarail/control/ledgers.py
@@ -1,5 +1,6 @@
 """Keep the ledgers of a data centre in the object API."""
 
+import functools
 from collections.abc import Callable, Iterable
 from typing import cast
 
@@ -10,6 +11,7 @@
     open_ledger,
     raise_fence,
     require_capacity,
+    reshape,
 )
 from cassiarail.core.exceptions import (
     StaleFenceError,
@@ -44,12 +46,18 @@
     async def take_over(self, shapes: Iterable[TargetShape]) -> None:
         """Raise the fence in the ledgers that aren't taken over yet.
 
+        Ledgers also follow changed declarations here.
+
         Raises ``StaleFenceError`` if a later holder took one over, and
         ``StoreError``; call it again then, before anything else.
         """
         for shape in shapes:
             if shape.name not in self._known:
                 await self._take_one(shape)
+            await self.change(
+                shape.name,
+                functools.partial(reshape, shape=shape),
+            )
 
     def holds(self, target: str) -> bool:
         """Tell whether the ledger of a target was taken over."""
--- a/tests/control/test_ledger.py
+++ b/tests/control/test_ledger.py
@@ -70,6 +70,22 @@
         reserve(record_send(ledger, send), KEYS[0], 1)
 
 
+def test_smaller_declared_capacity_stops_reservations_only():
+    """A declaration must not turn promises into overcommitted memory."""
+    world, controller = make_world()
+    world.clock.advance(0.1)
+    shape = world.shapes['t1']
+    world.shapes['t1'] = shape._replace(accelerator_memory_bytes=5)
+    do(controller, controller.take_over())
+    ledger = controller.tenure.keeper.get('t1')
+    assert ledger['capacity_bytes'] == sum_charges(ledger) == 44
+    with pytest.raises(OverpromisedMemoryError):
+        reserve(ledger, KEYS[3], 1)
+    world.shapes['t1'] = shape
+    do(controller, controller.take_over())
+    assert controller.tenure.keeper.get('t1')['capacity_bytes'] == 100
+
+
 def test_report_from_before_a_write_does_not_change_the_ledger():
     """An older report would release a key that was reserved since."""
     world, controller = make_world()
