Plan with the rounded sizes that the ledgers charge

A trial against the stand-ins placed 3 of 8 models: the policy was given unrounded sizes, so its plan never fitted, and each load that had no room used up the rate of the others. Sizes are rounded for the policy, and room is checked before the rate is taken.

Conclusion: test_plans_count_memory_as_the_ledgers_do guards it.

--- a/cassiarail/control/executor.py
+++ b/cassiarail/control/executor.py
@@ -155,19 +155,17 @@
         if not self._is_due(move):
             return
         if move.kind in _LOADING:
-            self._require_limits(move)
             size = sizes[move.key]
-            await self._record_and_send(
-                move,
-                shape,
-                lambda ledger: reserve(
-                    ledger,
-                    move.key,
-                    size.bytes,
-                    size.kv_reserve_bytes,
-                ),
-                lambda: True,
+            charge = functools.partial(
+                reserve,
+                key=move.key,
+                size=size.bytes,
+                kv_reserve_bytes=size.kv_reserve_bytes,
             )
+            # A load without room must not use up the rate of the others.
+            charge(self._keeper.get(move.target))
+            self._require_limits(move)
+            await self._record_and_send(move, shape, charge, lambda: True)
             return
         may_break = functools.partial(self._may_break, move, has_remote_copy)
         if not may_break():
--- a/cassiarail/controller/situation.py
+++ b/cassiarail/controller/situation.py
@@ -1,11 +1,12 @@
 """Build what a placement policy considers from declarations and statuses."""
 
 import abc
+import math
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple, cast
 
 from cassiarail.control.executor import KeySize
-from cassiarail.control.ledger import TargetShape, parse_key
+from cassiarail.control.ledger import TargetShape, parse_key, round_bytes
 from cassiarail.controller.status import StatusDocument, TargetStatus
 from cassiarail.declarations.schema import (
     DeclarationsDocument,
@@ -99,9 +100,10 @@
 ) -> PlacementInput:
     """Return the needs of all models and the room of all reached targets."""
     forecasts = demand.forecast()
+    steps = _list_steps(declarations)
     return PlacementInput(
         models=tuple(
-            _need(declarations, model, forecasts)
+            _need(declarations, model, forecasts, steps[model['service']])
             for model in declarations['models']
         ),
         targets=tuple(
@@ -129,18 +131,20 @@
     declarations: DeclarationsDocument,
     model: ModelDocument,
     forecasts: Mapping[str, Forecast],
+    step: int,
 ) -> ModelNeed:
     policy = resolve_policy(declarations, model)
     forecast = forecasts.get(model['name'], Forecast(0, 0))
     return ModelNeed(
         key=HoldingKey(model['name'], model['version']),
         service=model['service'],
-        bytes=model['bytes'],
-        kv_reserve_bytes=policy.get('kv_reserve_bytes', 0),
+        bytes=round_bytes(model['bytes'], step),
+        kv_reserve_bytes=round_bytes(policy.get('kv_reserve_bytes', 0), step),
         demand=forecast.demand,
         variance=forecast.variance,
         adapters={
-            adapter['name']: adapter['bytes'] for adapter in model['adapters']
+            adapter['name']: round_bytes(adapter['bytes'], step)
+            for adapter in model['adapters']
         },
         replicas_min=policy.get('replicas_min', 1),
         replicas_max=policy.get('replicas_max', _DEFAULT_REPLICAS_MAX),
@@ -153,6 +157,20 @@
     )
 
 
+def _list_steps(declarations: DeclarationsDocument) -> dict[str, int]:
+    """Return by service the bytes to whose multiples sizes are rounded.
+
+    A ledger rounds to the accelerators of its target. A multiple of all these
+    numbers is never less, so a plan that fits also fits in the ledgers.
+    """
+    return {
+        service['name']: math.lcm(
+            *(target['accelerators'] for target in service['targets']),
+        )
+        for service in declarations['services']
+    }
+
+
 def _room(data_centre: str, target: TargetStatus) -> TargetRoom:
     return TargetRoom(
         name=target['name'],
--- a/cassiarail/controller/tenure.py
+++ b/cassiarail/controller/tenure.py
@@ -12,6 +12,7 @@
     TargetShape,
     format_key,
     list_keys,
+    round_bytes,
     sum_charges,
 )
 from cassiarail.control.ledgers import LedgerKeeper
@@ -187,16 +188,17 @@
     ) -> int:
         """Return the memory that a plan may fill.
 
-        A policy knows the sizes of declared keys only, so what other keys
-        and keys being released are charged is taken off.
+        A policy counts the declared sizes of the held keys, so what is
+        charged otherwise is taken off.
         """
-        known = {format_key(key) for key in held if key in self._sizes}
-        charged_otherwise = sum(
-            entry['bytes'] + entry['kv_reserve_bytes']
-            for text, entry in ledger['entries'].items()
-            if text not in known
+        accelerators = ledger['accelerators']
+        declared = [self._sizes[key] for key in held if key in self._sizes]
+        counted = sum(
+            round_bytes(size.bytes, accelerators)
+            + round_bytes(size.kv_reserve_bytes, accelerators)
+            for size in declared
         )
-        return ledger['capacity_bytes'] - charged_otherwise
+        return ledger['capacity_bytes'] - sum_charges(ledger) + counted
 
 
 def _list_earlier(
--- a/tests/controller/test_application.py
+++ b/tests/controller/test_application.py
@@ -36,7 +36,7 @@
         return 1
 
 
-def declare(targets, replicas):
+def declare(targets, replicas, models=MODELS):
     return {
         'fleet': {
             'deployment': 'test',
@@ -57,7 +57,7 @@
                 'bytes': 20,
                 'adapters': [],
             }
-            for name in MODELS
+            for name in models
         ],
         'services': [
             {
@@ -211,6 +211,23 @@
     run_virtual(main)
 
 
+def test_plans_count_memory_as_the_ledgers_do():
+    """A plan that fits only without rounding would never be carried out.
+
+    Each model takes 25 bytes before rounding and 26 after it, so that three
+    and not four fit on a target.
+    """
+
+    async def scenario(fleet):
+        fleet.declarations = declare(fleet.engines, 1, 'abcdefgh')
+        fleet.control('x')
+        await anyio.sleep(90)
+        for name in 'abcdefgh':
+            assert fleet.copies(name), name
+
+    run(scenario, replicas=1)
+
+
 def test_replaces_copies_after_a_crash_and_uses_the_new_instance():
     """A crashed target's models must be ready elsewhere within a minute."""
 
