--- a/cassiarail/control/inventory.py
+++ b/cassiarail/control/inventory.py
@@ -34,8 +34,8 @@
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import (
-    StoreError,
-    TargetError,
+    CassiarailError,
+    StaleFenceError,
     VersionConflictError,
 )
 from cassiarail.placement.backends.base import HoldingKey
@@ -81,9 +81,13 @@
 
         Raises ``StaleFenceError`` if a later holder took over.
         """
+        stale: list[StaleFenceError] = []
         async with anyio.create_task_group() as group:
             for shape in shapes:
-                group.start_soon(self._refresh_quietly, shape)
+                group.start_soon(self._refresh_quietly, shape, stale)
+        # Raised outside of the group, which would wrap it.
+        if stale:
+            raise stale[0]
 
     async def refresh(self, shape: TargetShape) -> None:
         """Read one report and bring the ledger into agreement with it.
@@ -151,14 +155,20 @@
             for name, other in copies
         )
 
-    async def _refresh_quietly(self, shape: TargetShape) -> None:
+    async def _refresh_quietly(
+        self,
+        shape: TargetShape,
+        stale: list[StaleFenceError],
+    ) -> None:
         if not self._keeper.holds(shape.name):
             return
         try:
             await self.refresh(shape)
         except VersionConflictError:
             return
-        except (TargetError, StoreError) as error:
+        except StaleFenceError as error:
+            stale.append(error)
+        except CassiarailError as error:
             emit_event(REPORT_FAILED, target=shape.name, error=str(error))
 
     async def _send_fence(
--- a/cassiarail/controller/events.py
+++ b/cassiarail/controller/events.py
@@ -24,3 +24,8 @@
     level=logging.WARNING,
     summary='model has no place in the plan',
 )
+ROUND_FAILED = define_event(
+    number=3105,
+    level=logging.WARNING,
+    summary='round of placement failed; the next one tries again',
+)
--- a/cassiarail/controller/loops.py
+++ b/cassiarail/controller/loops.py
@@ -3,6 +3,7 @@
 import random
 
 from cassiarail.controller.events import (
+    ROUND_FAILED,
     STORE_FAILED,
     TENURE_ENDED,
     TENURE_STARTED,
@@ -11,7 +12,11 @@
 from cassiarail.controller.tenure import ControlParts, Tenure
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
-from cassiarail.core.exceptions import StaleFenceError, StoreError
+from cassiarail.core.exceptions import (
+    CassiarailError,
+    StaleFenceError,
+    StoreError,
+)
 from cassiarail.core.lifecycle import Component
 from cassiarail.store.leases import Lease
 
@@ -108,6 +113,8 @@
             await self._lease.release()
         except StoreError as error:
             emit_event(STORE_FAILED, error=str(error))
+        except CassiarailError as error:
+            emit_event(ROUND_FAILED, error=str(error))
 
     def _end(self) -> None:
         if self._tenure is not None:
--- a/tests/controller/test_application.py
+++ b/tests/controller/test_application.py
@@ -15,6 +15,7 @@
 )
 from cassiarail.controller.situation import DemandSource
 from cassiarail.core.clock import LoopClock
+from cassiarail.core.events import CHILD_CRASHED, recent_events
 from cassiarail.core.exceptions import StoreUnavailableError
 from cassiarail.core.lifecycle import Application
 from cassiarail.core.loops import run_virtual
@@ -284,6 +285,36 @@
     run(scenario)
 
 
+def test_overtaken_holder_steps_down_without_crashing():
+    """A holder that finds a higher fence must end its tenure, not restart."""
+
+    async def scenario(fleet):
+        control, _application = fleet.control('x')
+        await anyio.sleep(20)
+        for name in fleet.engines:
+            found = fleet.store.peek('ledger', name)
+            document = {**found.document, 'fence': 7}
+            await fleet.store.replace('ledger', name, document, found.version)
+        # The holder writes ledgers only when a report differs.
+        fleet.engines['t1'].restart()
+        crashes = len(list_crashes())
+        steps = []
+        while control.placement_loop.status is not None and len(steps) < 60:
+            steps.append(await anyio.sleep(1))
+        assert control.placement_loop.status is None
+        assert len(list_crashes()) == crashes
+
+    run(scenario)
+
+
+def list_crashes():
+    return [
+        occurrence
+        for occurrence in recent_events()
+        if occurrence.event is CHILD_CRASHED
+    ]
+
+
 def test_nobody_acts_while_the_store_is_out():
     """Orders without a ledger could overcommit memory."""
 
