--- a/cassiarail/control/inventory.py
+++ b/cassiarail/control/inventory.py
@@ -15,7 +15,6 @@
     LOADS,
     LedgerDocument,
     TargetShape,
-    change_instance,
     find_sends,
     format_key,
     hold,
@@ -35,8 +34,8 @@
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import (
-    StoreError,
-    TargetError,
+    CassiarailError,
+    StaleFenceError,
     VersionConflictError,
 )
 from cassiarail.placement.backends.base import HoldingKey
@@ -82,9 +81,13 @@
 
         Raises ``StaleFenceError`` if a later holder took over.
         """
+        stale: list[StaleFenceError] = []
         async with anyio.create_task_group() as group:
             for shape in shapes:
-                group.start_soon(self._refresh_quietly, shape)
+                group.start_soon(self._refresh_quietly, shape, stale)
+        # Raised outside of the group, which would wrap it.
+        if stale:
+            raise stale[0]
 
     async def refresh(self, shape: TargetShape) -> None:
         """Read one report and bring the ledger into agreement with it.
@@ -152,14 +155,20 @@
             for name, other in copies
         )
 
-    async def _refresh_quietly(self, shape: TargetShape) -> None:
+    async def _refresh_quietly(
+        self,
+        shape: TargetShape,
+        stale: list[StaleFenceError],
+    ) -> None:
         if not self._keeper.holds(shape.name):
             return
         try:
             await self.refresh(shape)
         except VersionConflictError:
             return
-        except (TargetError, StoreError) as error:
+        except StaleFenceError as error:
+            stale.append(error)
+        except CassiarailError as error:
             emit_event(REPORT_FAILED, target=shape.name, error=str(error))
 
     async def _send_fence(
@@ -219,13 +228,25 @@
                 target=ledger['target'],
                 instance=report['instance'],
             )
-        current = change_instance(current, report['instance'])
+        current = _change_instance(current, report['instance'])
     current = resolve(current, void_orders)
     current = resolve(current, _find_resolved(current, report))
     current = _hold_shown(current, report, kv_reserve)
     return _release_gone(current, report)
 
 
+def _change_instance(ledger: LedgerDocument, instance: str) -> LedgerDocument:
+    """Note a new instance, at which no earlier order can take effect."""
+    sends = {
+        order_id: send
+        for order_id, send in ledger['sends'].items()
+        if send['instance'] == instance
+    }
+    return LedgerDocument(
+        **{**ledger, 'instance': instance, 'sends': sends},
+    )
+
+
 def _find_resolved(
     ledger: LedgerDocument,
     report: EngineReport,
--- a/tests/controller/test_application.py
+++ b/tests/controller/test_application.py
@@ -15,6 +15,7 @@
 )
 from cassiarail.controller.situation import DemandSource
 from cassiarail.core.clock import LoopClock
+from cassiarail.core.events import CHILD_CRASHED, recent_events
 from cassiarail.core.exceptions import StoreUnavailableError
 from cassiarail.core.lifecycle import Application
 from cassiarail.core.loops import run_virtual
@@ -36,7 +37,7 @@
         return 1
 
 
-def declare(targets, replicas):
+def declare(targets, replicas, models=MODELS):
     return {
         'fleet': {
             'deployment': 'test',
@@ -57,7 +58,7 @@
                 'bytes': 20,
                 'adapters': [],
             }
-            for name in MODELS
+            for name in models
         ],
         'services': [
             {
@@ -211,6 +212,23 @@
     run_virtual(main)
 
 
+def test_plans_count_memory_as_the_ledgers_do():
+    """A plan that fits only without rounding would never be carried out.
+
+    Each model takes 25 bytes before rounding and 26 after it, so that three
+    and not four fit on a target.
+    """
+
+    async def scenario(fleet):
+        fleet.declarations = declare(fleet.engines, 1, 'abcdefgh')
+        fleet.control('x')
+        await anyio.sleep(90)
+        for name in 'abcdefgh':
+            assert fleet.copies(name), name
+
+    run(scenario, replicas=1)
+
+
 def test_replaces_copies_after_a_crash_and_uses_the_new_instance():
     """A crashed target's models must be ready elsewhere within a minute."""
 
@@ -267,6 +285,36 @@
     run(scenario)
 
 
+def test_overtaken_holder_steps_down_without_crashing():
+    """A holder that finds a higher fence must end its tenure, not restart."""
+
+    async def scenario(fleet):
+        control, _application = fleet.control('x')
+        await anyio.sleep(20)
+        for name in fleet.engines:
+            found = fleet.store.peek('ledger', name)
+            document = {**found.document, 'fence': 7}
+            await fleet.store.replace('ledger', name, document, found.version)
+        # The holder writes ledgers only when a report differs.
+        fleet.engines['t1'].restart()
+        crashes = len(list_crashes())
+        steps = []
+        while control.placement_loop.status is not None and len(steps) < 60:
+            steps.append(await anyio.sleep(1))
+        assert control.placement_loop.status is None
+        assert len(list_crashes()) == crashes
+
+    run(scenario)
+
+
+def list_crashes():
+    return [
+        occurrence
+        for occurrence in recent_events()
+        if occurrence.event is CHILD_CRASHED
+    ]
+
+
 def test_nobody_acts_while_the_store_is_out():
     """Orders without a ledger could overcommit memory."""
 
