--- a/cassiarail/commands/controller.py
+++ b/cassiarail/commands/controller.py
@@ -13,6 +13,7 @@
 from cassiarail.core.clock import Clock, LoopClock
 from cassiarail.core.lifecycle import Application, Component
 from cassiarail.core.loops import run_real
+from cassiarail.core.transports import create_tcp_transport
 from cassiarail.membership.backends.codec import SignedCodec
 from cassiarail.membership.backends.grpc import (
     GrpcPeerServer,
@@ -57,9 +58,9 @@
 ) -> ControllerProcess:
     """Return a controller that talks over TCP."""
     links = ControllerLinks(
-        store=HttpObjectStore(settings['object_api']),
+        store=HttpObjectStore(settings['object_api'], create_tcp_transport()),
         peers=GrpcPeerTransport(SignedCodec(secret, clock)),
-        create_transport=lambda: None,
+        create_transport=create_tcp_transport,
     )
     return ControllerProcess(
         settings,
--- a/cassiarail/commands/demo.py
+++ b/cassiarail/commands/demo.py
@@ -21,6 +21,7 @@
 _KIBIBYTE = 1024
 # All parts share one core here, so answers are short.
 _TOKENS_MAX = 12
+_TIMEOUT_S = 5.0
 
 
 @program.command()
@@ -53,6 +54,7 @@
         rate,
         faults=faults,
         tokens_max=_TOKENS_MAX,
+        timeout_s=_TIMEOUT_S,
         breakages=(break_promise,) if break_promise else (),
     )
     started_at = time.process_time()
--- a/cassiarail/commands/gateway.py
+++ b/cassiarail/commands/gateway.py
@@ -4,7 +4,6 @@
 import random
 from typing import Annotated
 
-import httpx
 import typer
 
 from cassiarail.commands.options import VersionOption, load_or_exit
@@ -13,6 +12,7 @@
 from cassiarail.core.clock import LoopClock
 from cassiarail.core.lifecycle import Application
 from cassiarail.core.loops import run_real
+from cassiarail.core.transports import create_tcp_transport
 from cassiarail.gateway.process import GatewayLinks, GatewayProcess
 from cassiarail.membership.backends.codec import SignedCodec
 from cassiarail.membership.backends.grpc import GrpcPeerTransport
@@ -23,14 +23,6 @@
 from cassiarail.telemetry.tracing import Tracing
 
 program = typer.Typer(add_completion=False)
-_CONNECTIONS_PER_TARGET = 512
-
-
-def create_tcp_transport(address: str) -> httpx.AsyncBaseTransport:
-    """Return one pool of connections for a target."""
-    return httpx.AsyncHTTPTransport(
-        limits=httpx.Limits(max_connections=_CONNECTIONS_PER_TARGET),
-    )
 
 
 async def run_gateway(settings: GatewaySettings, secret: bytes) -> None:
@@ -40,7 +32,7 @@
     process = GatewayProcess(
         settings,
         GatewayLinks(
-            HttpObjectStore(settings['object_api']),
+            HttpObjectStore(settings['object_api'], create_tcp_transport()),
             GrpcPeerTransport(SignedCodec(secret, clock)),
             create_tcp_transport,
         ),
--- a/cassiarail/commands/load.py
+++ b/cassiarail/commands/load.py
@@ -11,6 +11,7 @@
 from cassiarail.core.checks import CheckMessage
 from cassiarail.core.clock import LoopClock
 from cassiarail.core.loops import run_real
+from cassiarail.core.transports import create_tcp_transport
 from cassiarail.core.version import read_version
 from cassiarail.load.audit import Audit, list_violations
 from cassiarail.load.client import LoadClient
@@ -123,7 +124,7 @@
     clock = LoopClock()
     client = LoadClient(
         scenario,
-        httpx.AsyncHTTPTransport(limits=httpx.Limits(max_connections=None)),
+        create_tcp_transport(),
         clock,
         random.Random(f'client {seed}'),
     )
--- /dev/null
+++ b/cassiarail/core/transports.py
@@ -0,0 +1,30 @@
+"""Create HTTP transports over TCP."""
+
+import functools
+import ssl
+
+import httpx
+
+_CONNECTIONS = 1024
+
+
+@functools.cache
+def share_tls_context() -> ssl.SSLContext:
+    """Return the one client context of the process.
+
+    Each context loads all certificate authorities, which blocks the event
+    loop for about 40 ms; a gateway makes a new transport whenever connections
+    to a target went silent.
+    """
+    return ssl.create_default_context()
+
+
+def create_tcp_transport(address: str = '') -> httpx.AsyncBaseTransport:
+    """Return a pool of connections; the address is not needed for TCP."""
+    return httpx.AsyncHTTPTransport(
+        verify=share_tls_context(),
+        limits=httpx.Limits(
+            max_connections=_CONNECTIONS,
+            max_keepalive_connections=_CONNECTIONS,
+        ),
+    )
--- a/cassiarail/testbed/layout.py
+++ b/cassiarail/testbed/layout.py
@@ -116,6 +116,7 @@
     requests_per_second: float,
     policy: str,
     tokens_max: int = 40,
+    timeout_s: float = 10.0,
 ) -> ScenarioDocument:
     """Return a bursty load over all models of a deployment."""
     fleet = declarations['fleet']
@@ -161,7 +162,7 @@
         objective={
             'first_token_s': defaults['first_token_s'],
             'inter_token_s': defaults['inter_token_s'],
-            'timeout_s': defaults['timeout_s'],
+            'timeout_s': min(timeout_s, defaults['timeout_s']),
         },
         accelerators=sum(
             target['accelerators']
--- a/cassiarail/testbed/runner.py
+++ b/cassiarail/testbed/runner.py
@@ -50,6 +50,7 @@
     hosts_per_data_centre: int = 2
     faults: int = 14
     tokens_max: int = 40
+    timeout_s: float = 10.0
     breakages: tuple[FaultName, ...] = ()
 
 
@@ -84,7 +85,8 @@
     async with anyio.create_task_group() as group:
         wiring = TcpWiring(group, clock)
         outcome = await _run(settings, wiring, clock, partitions=False)
-        group.cancel_scope.cancel()
+        # Servers that are cancelled instead of closed raise from hypercorn.
+        wiring.close()
     return outcome
 
 
@@ -139,6 +141,7 @@
             requests_per_second=settings.requests_per_second,
             policy=AffinityPolicy.name,
             tokens_max=settings.tokens_max,
+            timeout_s=settings.timeout_s,
         )
         self._monitor = Monitor(deployment, clock)
         self._disturbances = Disturbances(
--- a/cassiarail/testbed/wiring.py
+++ b/cassiarail/testbed/wiring.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 
 from cassiarail.core.clock import Clock
+from cassiarail.core.transports import create_tcp_transport
 from cassiarail.membership.backends.base import (
     FeedService,
     PeerService,
@@ -29,7 +30,6 @@
 from cassiarail.standins.network import MemoryTransport, Network
 
 _SECRET = b'testbed'
-_CONNECTIONS = 1024
 # One way between hosts of one region.
 _LATENCY_S = 0.0005
 
@@ -115,11 +115,7 @@
 
     def create_transport(self, source: str) -> httpx.AsyncBaseTransport:
         """Return a pool of HTTP connections of a process."""
-        limits = httpx.Limits(
-            max_connections=_CONNECTIONS,
-            max_keepalive_connections=_CONNECTIONS,
-        )
-        return httpx.AsyncHTTPTransport(limits=limits)
+        return create_tcp_transport()
 
     def create_peers(self, source: str) -> PeerTransport:
         """Return the peer connections of a process."""
@@ -143,6 +139,10 @@
         if server is not None:
             await server.stop()
 
+    def close(self) -> None:
+        """Stop serving all addresses."""
+        self._tcp.close()
+
     async def wait_until_open(self, address: str) -> None:
         """Return when an address accepts connections."""
         await self._tcp.wait_until_open(address)
