--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 	$(BIN)/ruff check .
 	$(BIN)/flake8 cassiarail
 	$(BIN)/mypy
+
+soak: $(STAMP)
+	$(BIN)/python -m cassiarail.testbed.soak --seed $(SEED) --seconds $(SECONDS)
--- a/cassiarail/commands/demo.py
+++ b/cassiarail/commands/demo.py
@@ -20,7 +20,7 @@
 _DEFAULT_REPORT = pathlib.Path('out/demo.json')
 _KIBIBYTE = 1024
 # All parts share one core here, so answers are short.
-_TOKENS_MAX = 12
+_TOKENS_MAX = 6
 _TIMEOUT_S = 5.0
 
 
@@ -35,9 +35,9 @@
         typer.Option(help='Report to write.'),
     ] = _DEFAULT_REPORT,
     seed: Annotated[int, typer.Option(help='Seed of load and faults.')] = 1,
-    seconds: Annotated[float, typer.Option(help='Duration of load.')] = 30,
-    rate: Annotated[float, typer.Option(help='Requests a second.')] = 28,
-    faults: Annotated[int, typer.Option(help='Number of faults.')] = 12,
+    seconds: Annotated[float, typer.Option(help='Duration of load.')] = 40,
+    rate: Annotated[float, typer.Option(help='Requests a second.')] = 22,
+    faults: Annotated[int, typer.Option(help='Number of faults.')] = 9,
     break_promise: Annotated[
         FaultName | None,
         typer.Option(help='Test switch: a deliberate breakage.'),
--- a/cassiarail/testbed/layout.py
+++ b/cassiarail/testbed/layout.py
@@ -147,7 +147,7 @@
         demand_changes=[
             {'at_s': third, 'model': models[-1]['name'], 'factor': 10.0},
         ],
-        bursts=[{'at_s': third, 'duration_s': third / 2, 'factor': 3.0}],
+        bursts=[{'at_s': third, 'duration_s': third / 2, 'factor': 2.0}],
         text={
             'prefixes': 4,
             'prefix_characters': 400,
