--- a/cassiarail/testbed/disturbances.py
+++ b/cassiarail/testbed/disturbances.py
@@ -4,6 +4,7 @@
 import random
 from typing import NamedTuple
 
+from cassiarail.control.orders import EngineAdmin, OrderDocument
 from cassiarail.core.clock import Clock
 from cassiarail.core.exceptions import CassiarailError
 from cassiarail.standins.disturbances import (
@@ -96,6 +97,27 @@
             self.applied.append(fault.name)
             await self._strike(fault.name)
 
+    async def skip_ledger(self, admin: EngineAdmin) -> None:
+        """Load every model on one engine without reserving its memory.
+
+        This is the deliberate breakage ``ledger_skipped``.
+        """
+        declarations = self._deployment.declarations
+        engine = next(iter(self._deployment.standins.engines.values()))
+        address = engine.settings.address
+        report = await admin.read_state(address)
+        for model in declarations['models']:
+            order = OrderDocument(
+                order_id=f'skipped-{model["name"]}',
+                fence=report['fence'],
+                instance=report['instance'],
+                kind='load_model',
+                model=model['name'],
+                version=model['version'],
+                bytes=model['bytes'],
+            )
+            await admin.send_order(address, order)
+
     async def _strike(self, name: str) -> None:
         deployment = self._deployment
         if name == GATEWAY_CRASH:
--- a/cassiarail/testbed/runner.py
+++ b/cassiarail/testbed/runner.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from cassiarail.control.orders import HttpEngineAdmin
 from cassiarail.core.clock import Clock, LoopClock
 from cassiarail.core.loops import run_real, run_virtual
 from cassiarail.declarations.loader import load_folder
@@ -157,6 +158,7 @@
         )
         # The client follows the balancer's list.
         self._client.gateways = deployment.balanced
+        self._admin = HttpEngineAdmin(wiring.create_transport('breakage'))
         self._store_calls = 0
         self._control_bytes = 0
 
@@ -172,6 +174,7 @@
             group.start_soon(self._disturb, disturbed_s, partitions)
             await self._client.run(plan.plan())
             group.cancel_scope.cancel()
+        await self._admin.aclose()
         self._store_calls = self._count_calls() - calls
         self._control_bytes = self._count_bytes() - control_bytes
 
@@ -219,6 +222,8 @@
                 ),
             )
             group.start_soon(disturbances.run_nodes, duration_s, count // 3)
+            if FaultName.LEDGER_SKIPPED in self._settings.breakages:
+                group.start_soon(disturbances.skip_ledger, self._admin)
 
     def _read_figures(self) -> SystemFigures:
         seconds = self._client.run_seconds
