Resolve policies and make transports in one place

Cause: three modules resolved exceptions, two of them without the order by specificity that explain shows, so that a gateway could apply another value than the one explained; two modules made TCP transports.

Conclusion: what explain says is what is in force.

--- a/cassiarail/controller/situation.py
+++ b/cassiarail/controller/situation.py
@@ -3,15 +3,16 @@
 import abc
 import math
 from collections.abc import Iterable, Mapping
-from typing import NamedTuple, cast
+from typing import NamedTuple
 
 from cassiarail.control.executor import KeySize
 from cassiarail.control.ledger import TargetShape, parse_key, round_bytes
 from cassiarail.controller.status import StatusDocument, TargetStatus
+from cassiarail.declarations.resolve import resolve_policy
 from cassiarail.declarations.schema import (
     DeclarationsDocument,
+    Match,
     ModelDocument,
-    Policy,
     ServiceDocument,
     TargetDocument,
 )
@@ -66,7 +67,7 @@
     """Return what each declared model and adapter takes."""
     sizes: dict[HoldingKey, KeySize] = {}
     for model in declarations['models']:
-        policy = resolve_policy(declarations, model)
+        policy = resolve_policy(declarations, _match(model))
         key = HoldingKey(model['name'], model['version'])
         sizes[key] = KeySize(
             model['bytes'],
@@ -79,20 +80,6 @@
     return sizes
 
 
-def resolve_policy(
-    declarations: DeclarationsDocument,
-    model: ModelDocument,
-) -> Policy:
-    """Return the defaults as changed by the exceptions for a model."""
-    resolved = dict(declarations['fleet']['defaults'])
-    for exception in declarations['exceptions']:
-        names = dict(exception['match'])
-        wanted = {'model': model['name'], 'service': model['service']}
-        if names and names.items() <= wanted.items():
-            resolved.update(exception['set'])
-    return cast(Policy, resolved)
-
-
 def build_situation(
     declarations: DeclarationsDocument,
     statuses: Iterable[StatusDocument],
@@ -133,7 +120,7 @@
     forecasts: Mapping[str, Forecast],
     step: int,
 ) -> ModelNeed:
-    policy = resolve_policy(declarations, model)
+    policy = resolve_policy(declarations, _match(model))
     forecast = forecasts.get(model['name'], Forecast(0, 0))
     return ModelNeed(
         key=HoldingKey(model['name'], model['version']),
@@ -181,3 +168,7 @@
         held=frozenset(parse_key(text) for text in target['held']),
         leaving=target['leaving'],
     )
+
+
+def _match(model: ModelDocument) -> Match:
+    return Match(model=model['name'], service=model['service'])
--- a/cassiarail/core/transports.py
+++ b/cassiarail/core/transports.py
@@ -22,9 +22,14 @@
 
 
 def create_tcp_transport(address: str = '') -> httpx.AsyncBaseTransport:
-    """Return a pool of connections; the address is not needed for TCP."""
+    """Return a pool of connections; the address is not needed for TCP.
+
+    Connections have no limit: admission bounds them, where a refusal carries a
+    verdict and a time to try again; a full pool would only hide the queue.
+    """
     return httpx.AsyncHTTPTransport(
         verify=share_tls_context(),
+        trust_env=False,
         limits=httpx.Limits(
             max_connections=None,
             max_keepalive_connections=_IDLE_CONNECTIONS,
--- a/cassiarail/gateway/application.py
+++ b/cassiarail/gateway/application.py
@@ -9,6 +9,7 @@
 from starlette.routing import Route
 
 from cassiarail.core.clock import Clock
+from cassiarail.declarations.resolve import resolve_policy
 from cassiarail.gateway.attempts import (
     AttemptTools,
     LeavingMemory,
@@ -21,7 +22,6 @@
     DeclarationsSource,
     DirectorySource,
     PolicyResolver,
-    resolve_policy,
 )
 from cassiarail.gateway.drain import RequestRegistry
 from cassiarail.gateway.endpoints import EndpointTools, GatewayLimits
--- a/cassiarail/gateway/directory.py
+++ b/cassiarail/gateway/directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from cassiarail.declarations.resolve import resolve_policy
 from cassiarail.declarations.schema import (
     CallerDocument,
     DeclarationsDocument,
@@ -38,15 +39,6 @@
     priority: int
 
 
-def resolve_policy(document: DeclarationsDocument, match: Match) -> Policy:
-    """Return the defaults with every matching exception applied in order."""
-    policy = Policy(**document['fleet']['defaults'])
-    for exception in document['exceptions']:
-        if exception['match'].items() <= match.items():
-            policy.update(exception['set'])
-    return policy
-
-
 class Directory:
     """Index one version of the declarations."""
 
--- a/cassiarail/targets/connections.py
+++ b/cassiarail/targets/connections.py
@@ -1,7 +1,6 @@
 """Hold the connections to targets and map their failures to verdicts."""
 
 import contextlib
-import ssl
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from typing import NamedTuple, TypeVar
 
@@ -17,8 +16,6 @@
 
 TransportFactory = Callable[[str], httpx.AsyncBaseTransport]
 _Returned = TypeVar('_Returned')
-_KEEPALIVE_S = 30
-_KEPT_CONNECTIONS = 64
 # These are raised before a byte of the request can have left.
 _BEFORE_SENDING = (
     httpx.ConnectError,
@@ -167,25 +164,6 @@
             await pooled.transport.aclose()
 
 
-def create_tcp_transport(
-    tls: ssl.SSLContext | None = None,
-) -> httpx.AsyncBaseTransport:
-    """Return a transport for one target, without a limit on connections.
-
-    Concurrency is limited by admission, where a refusal carries a verdict and
-    a time to try again; a full pool would only hide the queue.
-    """
-    return httpx.AsyncHTTPTransport(
-        verify=tls or False,
-        trust_env=False,
-        limits=httpx.Limits(
-            max_connections=None,
-            max_keepalive_connections=_KEPT_CONNECTIONS,
-            keepalive_expiry=_KEEPALIVE_S,
-        ),
-    )
-
-
 def map_transport_error(error: httpx.HTTPError) -> TargetError:
     """Return the error of ours with the verdict that a failure permits."""
     summary = str(error) or type(error).__name__
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -11,6 +11,7 @@
 from cassiarail.core.exceptions import SettingsError
 from cassiarail.core.lifecycle import Application
 from cassiarail.core.loops import run_real
+from cassiarail.core.transports import create_tcp_transport
 from cassiarail.gateway.application import GatewayApplication
 from cassiarail.gateway.server import (
     Listener,
@@ -18,7 +19,6 @@
     build_operators_asgi,
 )
 from cassiarail.routing.snapshot import TargetKind, TargetState
-from cassiarail.targets.connections import create_tcp_transport
 from tests.gateway.fakes import FakeEngine, FakeStore
 from tests.gateway.world import (
     KEYS,
