--- a/cassiarail/commands/controller.py
+++ b/cassiarail/commands/controller.py
@@ -6,7 +6,8 @@
 
 import typer
 
-from cassiarail.commands.options import VersionOption, load_or_exit
+from cassiarail.commands.options import load_or_exit
+from cassiarail.commands.version import VersionOption
 from cassiarail.conf.loader import read_secret
 from cassiarail.conf.schema import ControllerSettings
 from cassiarail.controller.process import ControllerLinks, ControllerProcess
--- a/cassiarail/commands/ctl.py
+++ b/cassiarail/commands/ctl.py
@@ -13,12 +13,10 @@
 import msgspec
 import typer
 
-from cassiarail.commands.options import (
-    EXIT_FAILED,
-    EXIT_REJECTED,
-    VersionOption,
-)
-from cassiarail.conf.loader import RejectedSettingsError, load_settings
+from cassiarail.commands.options import EXIT_FAILED, EXIT_REJECTED
+from cassiarail.commands.version import VersionOption
+from cassiarail.conf.files import RejectedSettingsError
+from cassiarail.conf.loader import load_settings
 from cassiarail.conf.schema import OperatorSettings, PeerSettings
 from cassiarail.control.configuration import (
     CONFIGURATION_KIND,
--- a/cassiarail/commands/demo.py
+++ b/cassiarail/commands/demo.py
@@ -10,7 +10,8 @@
 import typer
 from absl import logging
 
-from cassiarail.commands.options import EXIT_FAILED, VersionOption
+from cassiarail.commands.options import EXIT_FAILED
+from cassiarail.commands.version import VersionOption
 from cassiarail.load.report import ReportDocument, write_report
 from cassiarail.standins.faults import FaultName
 from cassiarail.testbed.runner import RunResult, RunSettings, run_on_loopback
--- /dev/null
+++ b/cassiarail/commands/edge.py
@@ -0,0 +1,74 @@
+"""Define the program ``cassiarail-edge``."""
+
+import gc
+import pathlib
+import sys
+from typing import Annotated
+
+import typer
+
+from cassiarail.commands.version import VersionOption
+from cassiarail.conf.edge import EdgeSettings, load_edge_settings
+from cassiarail.conf.files import RejectedSettingsError
+from cassiarail.core.clock import LoopClock
+from cassiarail.core.events import add_sink
+from cassiarail.core.loops import run_real
+from cassiarail.edge.process import EdgeLinks, EdgeProcess
+from cassiarail.http1.pool import Address
+from cassiarail.platform.dialect import PlatformDialect
+from cassiarail.platform.store import PlatformStore
+from cassiarail.telemetry.lines import LineWriter
+
+_EXIT_USAGE = 2
+# Rare full collections keep their pauses out of streams; nearly all objects
+# of a request are freed by their reference counts.
+_COLLECTOR_THRESHOLDS = (20_000, 20, 100)
+
+program = typer.Typer(add_completion=False)
+
+
+async def run_edge(settings: EdgeSettings, path: pathlib.Path) -> None:
+    """Run until told to stop."""
+    lines = LineWriter(sys.stdout.fileno(), LoopClock().now)
+    add_sink(lines)
+    store = PlatformStore(Address.parse(settings['object_api']))
+    process = EdgeProcess(
+        settings,
+        path,
+        EdgeLinks(PlatformDialect(), store, store),
+        lines,
+    )
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*_COLLECTOR_THRESHOLDS)
+    try:
+        await process.application.run(handle_signals=True)
+    finally:
+        await store.aclose()
+        lines.flush()
+
+
+@program.command()
+def serve(
+    settings: Annotated[
+        pathlib.Path,
+        typer.Argument(envvar='CASSIARAIL_SETTINGS', help='JSON settings'),
+    ],
+    version: VersionOption = False,
+) -> None:
+    """Forward callers' requests to targets and give orders to engines."""
+    try:
+        document = load_edge_settings(settings)
+    except RejectedSettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(_EXIT_USAGE) from error
+    run_real(run_edge, document, settings)
+
+
+def main() -> None:
+    """Run the program."""
+    program()
+
+
+if __name__ == '__main__':
+    main()
--- a/cassiarail/commands/options.py
+++ b/cassiarail/commands/options.py
@@ -2,34 +2,17 @@
 
 import pathlib
 from collections.abc import Callable
-from typing import Annotated, Any
+from typing import Any
 
 import typer
 
-from cassiarail.conf.loader import RejectedSettingsError, load_settings
-from cassiarail.core.version import read_version
+from cassiarail.conf.files import RejectedSettingsError
+from cassiarail.conf.loader import load_settings
 
 EXIT_FAILED = 1
 EXIT_REJECTED = 2
 
 
-def _print_version(wanted: bool) -> None:
-    if wanted:
-        typer.echo(read_version())
-        raise typer.Exit
-
-
-VersionOption = Annotated[
-    bool,
-    typer.Option(
-        '--version',
-        callback=_print_version,
-        is_eager=True,
-        help='Print the version and exit.',
-    ),
-]
-
-
 def load_or_exit(
     path: pathlib.Path,
     shape: Any,
--- a/cassiarail/conf/loader.py
+++ b/cassiarail/conf/loader.py
@@ -3,37 +3,12 @@
 import pathlib
 from typing import Any
 
-import msgspec
-
 from cassiarail.conf.checks import SHAPE_CHECKS, check_settings
+from cassiarail.conf.files import RejectedSettingsError, read_json
 from cassiarail.core.checks import CheckMessage, has_errors
-from cassiarail.core.exceptions import SettingsError
 from cassiarail.core.validation import DocumentChecker
 
 
-class RejectedSettingsError(SettingsError):
-    """Report settings with all their problems."""
-
-    error_id = 'CR1002'
-    code = 'settings_invalid'
-
-    def __init__(self, path: str, problems: list[CheckMessage]) -> None:
-        lines = '\n'.join(problem.format_line() for problem in problems)
-        super().__init__(f'{path}:\n{lines}')
-        self.problems = problems
-
-
-def read_json(path: pathlib.Path) -> Any:
-    """Decode a JSON file; raise ``RejectedSettingsError`` if that fails."""
-    try:
-        return msgspec.json.decode(path.read_bytes())
-    except OSError as error:
-        problem = CheckMessage('S004', '$', f'cannot read: {error.strerror}')
-    except msgspec.DecodeError as error:
-        problem = CheckMessage('S005', '$', f'not JSON: {error}')
-    raise RejectedSettingsError(str(path), [problem])
-
-
 def load_settings(path: pathlib.Path, shape: Any) -> Any:
     """Return the settings of a file that has the given TypedDict's shape.
 
--- a/cassiarail/core/clock.py
+++ b/cassiarail/core/clock.py
@@ -2,6 +2,7 @@
 
 import abc
 import datetime as dt
+import time
 
 import anyio
 
@@ -54,6 +55,18 @@
         await anyio.sleep(seconds)
 
 
+class BootClock(LoopClock):
+    """Count the time for which the host was suspended, too.
+
+    What others may do while this process stands still, such as taking over
+    a lease, has to be timed by this clock.
+    """
+
+    def monotonic(self) -> float:
+        """Return seconds since the host booted, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """Hold time still until it is advanced."""
 
--- a/cassiarail/core/events.py
+++ b/cassiarail/core/events.py
@@ -6,7 +6,9 @@
 ``events``. The catalogue is docs/ref/events.md.
 """
 
+import abc
 import collections
+from collections.abc import Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -30,6 +32,15 @@
     fields: dict[str, object]
 
 
+class EventSink(abc.ABC):
+    """Write events somewhere else than to the log of the library."""
+
+    @abc.abstractmethod
+    def write(self, event: Event, fields: Mapping[str, object]) -> None:
+        """Write one event; never block and never raise."""
+
+
+_sinks: list[EventSink] = []
 _catalogue: dict[int, Event] = {}
 _recent: collections.deque[Occurrence] = collections.deque(
     maxlen=_RECENT_EVENTS,
@@ -48,6 +59,10 @@
 def emit_event(event: Event, **fields: object) -> None:
     """Log an event with its fields as one JSON object."""
     _recent.append(Occurrence(event, fields))
+    if _sinks:
+        for sink in _sinks:
+            sink.write(event, fields)
+        return
     if logging.vlog_is_on(-event.level) or event.level <= logging.INFO:
         line = msgspec.json.encode(
             {'event': event.number, 'summary': event.summary, **fields},
@@ -56,6 +71,16 @@
         logging.log(event.level, '%s', line.decode())
 
 
+def add_sink(sink: EventSink) -> None:
+    """Send events to a sink instead of the log of the library."""
+    _sinks.append(sink)
+
+
+def remove_sink(sink: EventSink) -> None:
+    """Send no more events to a sink."""
+    _sinks.remove(sink)
+
+
 def list_events() -> list[Event]:
     """Return all defined events in order of their numbers."""
     return [_catalogue[number] for number in sorted(_catalogue)]
--- /dev/null
+++ b/cassiarail/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Forward callers' requests by host and path, on every host of a fleet."""
--- /dev/null
+++ b/cassiarail/edge/configuration.py
@@ -0,0 +1,136 @@
+"""Describe the routes and services in force."""
+
+import enum
+import zlib
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from cassiarail.http1.listener import ClientLimits
+
+
+class RouteKind(enum.Enum):
+    """Tell how often a request may run."""
+
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non_idempotent'
+    STREAM = 'stream'
+
+
+class ServiceShare(NamedTuple):
+    """Send a part of a route's requests to a service."""
+
+    service: str
+    weight: int
+
+
+class Route(NamedTuple):
+    """Describe the requests of one host and path prefix.
+
+    ``rank`` orders urgency, 0 first. ``attempts`` is the most targets at
+    which one request may run. ``objective_s`` is the time to the answer, or
+    to the first event of a stream; ``pause_s`` the longest pause between
+    events that is still on time.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_s: float
+    objective_s: float
+    rank: int
+    shares: tuple[ServiceShare, ...]
+    attempts: int
+    can_resume: bool
+    pause_s: float
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or self.can_resume
+
+    @property
+    def is_stream(self) -> bool:
+        """Tell whether answers are streams of events."""
+        return self.kind is RouteKind.STREAM
+
+    def pick_service(self, request_id: str) -> str:
+        """Return the service of a request, by the weights of the shares."""
+        total = sum(share.weight for share in self.shares)
+        point = zlib.crc32(request_id.encode()) % max(1, total)
+        for share in self.shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return self.shares[-1].service
+
+
+class Model(NamedTuple):
+    """Describe the weights of a model; load times depend on their source."""
+
+    name: str
+    weights_bytes: int
+    adapter_count: int
+    adapter_bytes: int
+    store_load_s: float
+    disk_load_s: float
+    memory_load_s: float
+
+
+class EngineType(NamedTuple):
+    """Describe the engines of a service.
+
+    ``loads_per_s`` bounds the loads from the weight store over all engines.
+    """
+
+    slots: int
+    kv_token_capacity: int
+    weights_bytes: int
+    adapter_places: int
+    loads_per_s: float
+    models: Mapping[str, Model]
+
+
+class Service(NamedTuple):
+    """Describe the targets of one name; ``engine`` is set for models."""
+
+    name: str
+    connections_max: int
+    engine: EngineType | None
+
+
+class Configuration(NamedTuple):
+    """Hold one version of all routes and services."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, Service]
+    limits: ClientLimits
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path."""
+        found: Route | None = None
+        for route in self.routes:
+            if route.host != host or not path.startswith(route.path_prefix):
+                continue
+            if found is None or len(route.path_prefix) > len(found.path_prefix):
+                found = route
+        return found
+
+
+class ConfigurationInForce:
+    """Hold the newest version; an older one never replaces it."""
+
+    def __init__(self) -> None:
+        self.current: Configuration | None = None
+
+    def offer(self, candidate: Configuration) -> bool:
+        """Take a configuration if it is newer; tell whether it was taken."""
+        if self.current and candidate.version <= self.current.version:
+            return False
+        self.current = candidate
+        return True
+
+    def limits(self) -> ClientLimits:
+        """Return the limits for clients."""
+        return self.current.limits if self.current else ClientLimits()
--- /dev/null
+++ b/cassiarail/edge/demand.py
@@ -0,0 +1,75 @@
+"""Measure what callers ask for on this host."""
+
+import collections
+import contextlib
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from cassiarail.core.clock import Clock
+from cassiarail.edge.targets import Want
+
+_WINDOW_S = 3.0
+
+
+class Demand(NamedTuple):
+    """Describe the demand for a model or adapter.
+
+    ``asked`` counts requests in the last ``_WINDOW_S`` seconds, ``refused``
+    those of them that were turned away, ``in_flight`` those in progress.
+    """
+
+    service: str
+    want: Want
+    asked: int
+    in_flight: int
+    refused: int
+
+
+class DemandMeter:
+    """Count requests by what they need."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._in_flight: collections.Counter[tuple[str, Want]] = (
+            collections.Counter()
+        )
+        self._asked: collections.deque[tuple[float, tuple[str, Want]]] = (
+            collections.deque()
+        )
+        self._refused: collections.deque[tuple[float, tuple[str, Want]]] = (
+            collections.deque()
+        )
+
+    @contextlib.contextmanager
+    def track(self, service: str, want: Want | None) -> Iterator[None]:
+        """Count a request while it is in progress."""
+        if want is None:
+            yield
+            return
+        key = (service, want)
+        self._asked.append((self._clock.monotonic(), key))
+        self._in_flight[key] += 1
+        try:
+            yield
+        finally:
+            self._in_flight[key] -= 1
+
+    def note_refused(self, service: str, want: Want) -> None:
+        """Count a request that was turned away because nothing holds it."""
+        self._refused.append((self._clock.monotonic(), (service, want)))
+
+    def measure(self) -> list[Demand]:
+        """Return the demand of the last seconds."""
+        begun = self._clock.monotonic() - _WINDOW_S
+        for times in (self._asked, self._refused):
+            while times and times[0][0] < begun:
+                times.popleft()
+        asked = collections.Counter(key for _at, key in self._asked)
+        refused = collections.Counter(key for _at, key in self._refused)
+        keys = asked.keys() | {
+            key for key, count in self._in_flight.items() if count
+        }
+        return [
+            Demand(*key, asked[key], self._in_flight[key], refused[key])
+            for key in sorted(keys)
+        ]
--- /dev/null
+++ b/cassiarail/edge/events.py
@@ -0,0 +1,114 @@
+"""Number the log events of the forwarding path."""
+
+from absl import logging
+
+from cassiarail.core.events import define_event
+
+REQUEST_ENDED = define_event(
+    number=2101, level=logging.INFO, summary='request ended'
+)
+ATTEMPT_FAILED = define_event(
+    number=2102,
+    level=logging.INFO,
+    summary='attempt failed',
+)
+REQUEST_REFUSED = define_event(
+    number=2103, level=logging.INFO, summary='request refused as not run'
+)
+REQUEST_UNREAD = define_event(
+    number=2104,
+    level=logging.INFO,
+    summary='request could not be read',
+)
+REQUEST_CRASHED = define_event(
+    number=2105,
+    level=logging.ERROR,
+    summary='request failed because of a fault of this program',
+)
+TARGET_EJECTED = define_event(
+    number=2110,
+    level=logging.WARNING,
+    summary='target is ejected after repeated failures',
+)
+REQUEST_QUARANTINED = define_event(
+    number=2111,
+    level=logging.WARNING,
+    summary='request is refused; targets crashed while running it',
+)
+TARGET_ADDED = define_event(
+    number=4201, level=logging.INFO, summary='target is known'
+)
+TARGET_LEAVING = define_event(
+    number=4202,
+    level=logging.INFO,
+    summary='target gets no new requests',
+)
+ENTRY_UNREADABLE = define_event(
+    number=4203,
+    level=logging.WARNING,
+    summary='entry of a target is unreadable and is not used',
+)
+CONFIGURATION_TAKEN = define_event(
+    number=4204, level=logging.INFO, summary='configuration is in force'
+)
+CONFIGURATION_UNREADABLE = define_event(
+    number=4205,
+    level=logging.ERROR,
+    summary='configuration is unreadable; the earlier one stays in force',
+)
+HOLDER_BEGINS = define_event(
+    number=3201,
+    level=logging.INFO,
+    summary='this host gives orders to engines',
+)
+HOLDER_ENDS = define_event(
+    number=3202,
+    level=logging.INFO,
+    summary='this host gives no more orders',
+)
+ORDER_GIVEN = define_event(
+    number=3203, level=logging.INFO, summary='order given to an engine'
+)
+ORDER_FAILED = define_event(
+    number=3204,
+    level=logging.WARNING,
+    summary='order has no usable answer; reading the report',
+)
+REPORT_FAILED = define_event(
+    number=3205,
+    level=logging.WARNING,
+    summary='report of an engine could not be read',
+)
+PEER_UNREADABLE = define_event(
+    number=5201,
+    level=logging.WARNING,
+    summary='datagram of a peer is unreadable',
+)
+FREEZE_NOTICED = define_event(
+    number=1201,
+    level=logging.WARNING,
+    summary='this process stood still',
+)
+DRAIN_BEGINS = define_event(
+    number=1202,
+    level=logging.INFO,
+    summary='not ready any more; finishing requests in progress',
+)
+DRAIN_ENDS = define_event(
+    number=1203,
+    level=logging.INFO,
+    summary='requests in progress have ended or ran out of time',
+)
+SETTINGS_RELOADED = define_event(
+    number=1204, level=logging.INFO, summary='settings reloaded'
+)
+SETTINGS_REJECTED = define_event(
+    number=1205,
+    level=logging.ERROR,
+    summary='settings are unreadable; the earlier ones stay in force',
+)
+HOST_ENTRY_UNREADABLE = define_event(
+    number=5202,
+    level=logging.WARNING,
+    summary='entry of a host is unreadable and is not used',
+)
--- /dev/null
+++ b/cassiarail/edge/following.py
@@ -0,0 +1,138 @@
+"""Take the registry's targets and the configuration from the store."""
+
+from collections.abc import Callable
+
+from cassiarail.core.events import emit_event
+from cassiarail.core.exceptions import RequestError
+from cassiarail.edge.configuration import ConfigurationInForce
+from cassiarail.edge.dialect import Dialect
+from cassiarail.edge.events import (
+    CONFIGURATION_TAKEN,
+    CONFIGURATION_UNREADABLE,
+    ENTRY_UNREADABLE,
+    TARGET_ADDED,
+    TARGET_LEAVING,
+)
+from cassiarail.edge.targets import Target, TargetDirectory
+from cassiarail.store.backends.base import Listing, StoredObject, WatchBatch
+from cassiarail.store.watching import Follower
+
+
+class TargetFollower(Follower):
+    """Keep the directory as the registry has it."""
+
+    def __init__(
+        self,
+        directory: TargetDirectory,
+        dialect: Dialect,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._directory = directory
+        self._dialect = dialect
+        self._on_change = on_change
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take all entries."""
+        read = [self._read(entry) for entry in listing.entries]
+        targets = [target for target in read if target is not None]
+        for target in targets:
+            self._log(target)
+        self._directory.replace_all(targets)
+        self._on_change()
+
+    def take_batch(self, batch: WatchBatch) -> None:
+        """Take changed and removed entries."""
+        for entry in batch.entries:
+            target = self._read(entry)
+            if target is None:
+                self._directory.remove(entry.name)
+            else:
+                self._log(target)
+                self._directory.put(target)
+        for name in batch.deleted:
+            emit_event(TARGET_LEAVING, target=name, reason='entry removed')
+            self._directory.remove(name)
+        self._on_change()
+
+    def begin_return(self) -> None:
+        """Wait for entries that lapsed during an outage."""
+        self._directory.begin_patience()
+
+    def expire(self) -> None:
+        """Forget entries that have not come back."""
+        for name in self._directory.expire():
+            emit_event(TARGET_LEAVING, target=name, reason='did not return')
+
+    def _read(self, entry: StoredObject) -> Target | None:
+        try:
+            return self._dialect.decode_target(entry.name, entry.document)
+        except RequestError as error:
+            emit_event(
+                ENTRY_UNREADABLE,
+                target=entry.name,
+                revision=entry.version,
+                error=error.message,
+            )
+            return None
+
+    def _log(self, target: Target) -> None:
+        known = self._directory.get(target.instance)
+        if known is None or known.identity != target.identity:
+            emit_event(
+                TARGET_ADDED,
+                target=target.instance,
+                service=target.service,
+                address=str(target.address),
+                leaving=target.is_leaving,
+                models=sorted(target.holdings.models),
+            )
+        elif target.is_leaving and not known.is_leaving:
+            emit_event(
+                TARGET_LEAVING,
+                target=target.instance,
+                reason='target says that it leaves',
+            )
+
+
+class ConfigurationFollower(Follower):
+    """Put each newer configuration in force."""
+
+    def __init__(
+        self,
+        in_force: ConfigurationInForce,
+        dialect: Dialect,
+        object_name: str,
+    ) -> None:
+        self._in_force = in_force
+        self._dialect = dialect
+        self._object_name = object_name
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take the configuration; a missing one changes nothing."""
+        for entry in listing.entries:
+            self._take(entry)
+
+    def take_batch(self, batch: WatchBatch) -> None:
+        """Take a changed configuration."""
+        for entry in batch.entries:
+            self._take(entry)
+
+    def _take(self, entry: StoredObject) -> None:
+        if entry.name != self._object_name:
+            return
+        try:
+            found = self._dialect.decode_configuration(entry.document)
+        except RequestError as error:
+            emit_event(
+                CONFIGURATION_UNREADABLE,
+                revision=entry.version,
+                error=error.message,
+            )
+            return
+        if self._in_force.offer(found):
+            emit_event(
+                CONFIGURATION_TAKEN,
+                version=found.version,
+                revision=entry.version,
+                routes=len(found.routes),
+            )
--- /dev/null
+++ b/cassiarail/edge/hosts.py
@@ -0,0 +1,132 @@
+"""Register this host, and list all hosts while it gives orders."""
+
+import random
+from collections.abc import Callable, Iterator, Mapping
+
+import anyio
+
+from cassiarail.core.backoff import Backoff
+from cassiarail.core.clock import Clock
+from cassiarail.core.events import emit_event
+from cassiarail.core.exceptions import StoreError, VersionConflictError
+from cassiarail.core.lifecycle import Component
+from cassiarail.edge.events import HOST_ENTRY_UNREADABLE
+from cassiarail.http1.pool import Address
+from cassiarail.store.backends.base import (
+    Listing,
+    ObjectStore,
+    StoredObject,
+    WatchBatch,
+)
+from cassiarail.store.watching import Follower, KindWatcher
+
+HOST_KIND = 'cassiarail-hosts'
+_CHECK_S = 0.2
+_RETRY = Backoff(base_s=0.2, cap_s=2.0)
+
+
+class HostList(Follower):
+    """Hold the addresses of all registered hosts."""
+
+    def __init__(self) -> None:
+        self._addresses: dict[str, Address] = {}
+
+    def __iter__(self) -> Iterator[Address]:
+        return iter(self._addresses.values())
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take all hosts."""
+        self._addresses.clear()
+        for entry in listing.entries:
+            self._take(entry)
+
+    def take_batch(self, batch: WatchBatch) -> None:
+        """Take new and removed hosts."""
+        for entry in batch.entries:
+            self._take(entry)
+        for name in batch.deleted:
+            self._addresses.pop(name, None)
+
+    def _take(self, entry: StoredObject) -> None:
+        document = entry.document
+        try:
+            address = Address.parse(document['address'])
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            emit_event(
+                HOST_ENTRY_UNREADABLE,
+                host=entry.name,
+                error=repr(error),
+            )
+            return
+        self._addresses[entry.name] = address
+
+
+class HostRegistry(Component):
+    """Keep this host's entry, and follow the others when asked to."""
+
+    name = 'host registry'
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        entry: tuple[str, Mapping[str, str]],
+        is_needed: Callable[[], bool],
+        clock: Clock,
+        generator: random.Random,
+    ) -> None:
+        """Follow the other hosts while ``is_needed``."""
+        self.hosts = HostList()
+        self._store = store
+        self._name, self._document = entry
+        self._is_needed = is_needed
+        self._clock = clock
+        self._generator = generator
+
+    async def run(self) -> None:
+        """Register, then follow the other hosts while they are needed."""
+        await self._register()
+        while True:
+            if self._is_needed():
+                await self._follow()
+            await self._clock.sleep(_CHECK_S)
+
+    async def _register(self) -> None:
+        failures = 0
+        while True:
+            try:
+                await self._write()
+            except VersionConflictError:
+                failures += 1
+            except StoreError:
+                # The guard logs the outage; the entry is written after it.
+                failures += 1
+            else:
+                return
+            await self._clock.sleep(_RETRY.delay(failures, self._generator))
+
+    async def _write(self) -> None:
+        document = dict(self._document)
+        found = await self._store.read(HOST_KIND, self._name)
+        if found is None:
+            await self._store.create(HOST_KIND, self._name, document)
+        elif found.document != document:
+            await self._store.replace(
+                HOST_KIND,
+                self._name,
+                document,
+                found.version,
+            )
+
+    async def _follow(self) -> None:
+        watcher = KindWatcher(
+            self._store,
+            HOST_KIND,
+            self.hosts,
+            self._clock,
+            self._generator,
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(watcher.run)
+            while self._is_needed():
+                await self._clock.sleep(_CHECK_S)
+            group.cancel_scope.cancel()
--- /dev/null
+++ b/cassiarail/edge/metrics.py
@@ -0,0 +1,56 @@
+"""Count requests and measure latencies."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+_BUCKETS_S = (
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 20,
+)  # fmt: skip
+
+
+class EdgeMetrics:
+    """Hold the metrics of the forwarding path."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._requests = Counter(
+            'cassiarail_requests_total',
+            'Requests by kind of route and verdict.',
+            ['kind', 'verdict'],
+            registry=registry,
+        )
+        self._seconds = Histogram(
+            'cassiarail_request_seconds',
+            'Time from the head of a request to the end of its answer.',
+            ['kind'],
+            buckets=_BUCKETS_S,
+            registry=registry,
+        )
+        self._attempts = Counter(
+            'cassiarail_attempts_total',
+            'Attempts at targets by outcome.',
+            ['outcome'],
+            registry=registry,
+        )
+        self._unread = Counter(
+            'cassiarail_unread_requests_total',
+            'Requests that could not be read, by status.',
+            ['status'],
+            registry=registry,
+        )
+        self.dropped_lines = Gauge(
+            'cassiarail_dropped_log_lines',
+            'Log lines dropped because standard output was not read.',
+            registry=registry,
+        )
+
+    def count_request(self, kind: str, verdict: str, seconds: float) -> None:
+        """Count a request that has ended."""
+        self._requests.labels(kind, verdict).inc()
+        self._seconds.labels(kind).observe(seconds)
+
+    def count_attempt(self, outcome: str) -> None:
+        """Count an attempt that has ended."""
+        self._attempts.labels(outcome).inc()
+
+    def count_unread(self, status: int) -> None:
+        """Count a request that could not be read."""
+        self._unread.labels(str(status)).inc()
--- /dev/null
+++ b/cassiarail/edge/peers.py
@@ -0,0 +1,65 @@
+"""Exchange datagrams with the other hosts."""
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+import msgspec
+
+from cassiarail.core.events import emit_event
+from cassiarail.edge.events import PEER_UNREADABLE
+from cassiarail.edge.messages import Message, decode_message, encode_message
+from cassiarail.http1.pool import Address
+
+OnMessage = Callable[[Message, Address], None]
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """Send and receive messages on one address."""
+
+    def __init__(self, address: Address, on_message: OnMessage) -> None:
+        self.address = address
+        self.sent_bytes = 0
+        self._on_message = on_message
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self) -> None:
+        """Bind the address."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(self.address.host, self.address.port),
+        )
+
+    def stop(self) -> None:
+        """Release the address."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def send(self, message: Message, address: Address) -> None:
+        """Send a message; it may be lost."""
+        if self._transport is not None:
+            datagram = encode_message(message)
+            self.sent_bytes += len(datagram)
+            self._transport.sendto(datagram, (address.host, address.port))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(
+        self,
+        datagram: bytes,
+        sender: tuple[str | int, ...],
+    ) -> None:
+        """Hand a message on; a broken one is logged and dropped."""
+        try:
+            message = decode_message(datagram)
+        except msgspec.MsgspecError as error:
+            emit_event(PEER_UNREADABLE, peer=str(sender), error=str(error))
+            return
+        self._on_message(message, Address(str(sender[0]), int(sender[1])))
+
+    def error_received(self, error: Exception) -> None:
+        """Ignore unreachable peers; each message is repeated anyway."""
--- /dev/null
+++ b/cassiarail/edge/process.py
@@ -0,0 +1,333 @@
+"""Build the parts of one process of ``cassiarail-edge``."""
+
+import pathlib
+import random
+from typing import NamedTuple
+
+from prometheus_client import CollectorRegistry
+
+from cassiarail.conf.edge import EdgeSettings
+from cassiarail.core.clock import BootClock
+from cassiarail.core.lifecycle import Application, Component
+from cassiarail.edge.attempts import AttemptRunner
+from cassiarail.edge.configuration import ConfigurationInForce
+from cassiarail.edge.demand import DemandMeter
+from cassiarail.edge.dialect import Dialect
+from cassiarail.edge.expectations import LoadExpectations
+from cassiarail.edge.fleet_demand import FleetDemand
+from cassiarail.edge.following import ConfigurationFollower, TargetFollower
+from cassiarail.edge.forwarding import Forwarder, ForwardingParts
+from cassiarail.edge.front import CallerFront, DrainRules
+from cassiarail.edge.holder import HolderParts, HolderRules, OrderHolder
+from cassiarail.edge.hosts import HostRegistry
+from cassiarail.edge.metrics import EdgeMetrics
+from cassiarail.edge.orders import LoadBudget, OrderGiver
+from cassiarail.edge.presence import Presence, PresenceParts
+from cassiarail.edge.selection import TargetSelector
+from cassiarail.edge.status import (
+    StatusListener,
+    answer_metrics,
+    answer_readiness,
+)
+from cassiarail.edge.suspects import CrashSuspects
+from cassiarail.edge.targets import TargetDirectory
+from cassiarail.edge.upkeep import SettingsWatch, Upkeep
+from cassiarail.edge.waiting import PlacementWaits
+from cassiarail.edge.watches import Watches
+from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
+from cassiarail.limits.budgets import ServiceBudgets
+from cassiarail.limits.shared_budget import BudgetRules
+from cassiarail.routing.earliest import EarliestChoice
+from cassiarail.routing.outliers import OutlierDetector, OutlierRules
+from cassiarail.store.backends.base import ObjectStore
+from cassiarail.store.guard import Checkable
+from cassiarail.store.leases import Lease
+from cassiarail.store.writes import ConditionalWriter
+from cassiarail.telemetry.lines import LineWriter
+
+_CONNECT_TIMEOUT_S = 0.5
+_ORDERS_LEASE = 'orders'
+# Spent on the way of an order and on clocks that run at different rates.
+_QUIET_MARGIN_S = 0.3
+_LEASE_S = 3.0
+# A write of the lease is given up well before the lease lapses.
+_WRITE_PATIENCE_S = 1.0
+# Requests that are still in progress at this share of the time to stop are
+# cut, so that the answer of the cut still leaves.
+_STOP_SHARE = 0.92
+# Until the hosts are counted, the retry budget is divided by this.
+_UNKNOWN_HOSTS = 16
+# Each change of an engine is a priced call of every host that watches. The
+# order holder needs changes at once and tells the others; their own watch
+# has to show a target that leaves well within the bound of 2 s.
+_HOLDER_PAUSE_S = 0.05
+_PAUSE_S = 0.9
+_EJECTION = OutlierRules(
+    consecutive_failures=3,
+    ejection_s=2.0,
+    max_ejected_share=0.5,
+)
+
+
+class EdgeLinks(NamedTuple):
+    """Hold what a process reaches the outside by."""
+
+    dialect: Dialect
+    store: ObjectStore
+    checkable: Checkable
+
+
+class EdgeProcess:
+    """Own the parts of one process."""
+
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        path: pathlib.Path,
+        links: EdgeLinks,
+        lines: LineWriter,
+    ) -> None:
+        self._settings = settings
+        self._links = links
+        self._clock = BootClock()
+        self._generator = random.Random()
+        self._registry = CollectorRegistry()
+        self._metrics = EdgeMetrics(self._registry)
+        self._lines = lines
+        self._in_force = ConfigurationInForce()
+        self._directory = TargetDirectory(self._clock.monotonic)
+        self._suspects = CrashSuspects(self._clock)
+        self._build_peers()
+        self._build_holder()
+        self._build_forwarding()
+        self.application = Application(
+            'edge',
+            [*self._components(path)],
+            self._clock,
+            self._generator,
+        )
+
+    def is_ready(self) -> bool:
+        """Tell whether this host can take callers' connections."""
+        return (
+            not self._front.is_draining
+            and self._in_force.current is not None
+            and self._watches.is_listed
+        )
+
+    def _build_peers(self) -> None:
+        clock = self._clock
+        self._meter = DemandMeter(clock)
+        self._fleet_demand = FleetDemand(clock)
+        self._waits = PlacementWaits(lambda: self._presence.report_soon())
+        self._hosts = HostRegistry(
+            self._links.store,
+            (self._settings['name'], {'address': self._settings['peers']}),
+            lambda: self._holder.is_holder,
+            clock,
+            self._generator,
+        )
+        self._presence = Presence(
+            self._settings['name'],
+            Address.parse(self._settings['peers']),
+            PresenceParts(
+                self._meter,
+                self._fleet_demand,
+                self._suspects,
+                self._directory,
+                self._waits,
+                lambda: self._hosts.hosts,
+            ),
+            clock,
+        )
+
+    def _build_holder(self) -> None:
+        clock = self._clock
+        writer = ConditionalWriter(
+            self._links.store,
+            clock,
+            self._generator,
+            _WRITE_PATIENCE_S,
+        )
+        bounds = self._settings['bounds']
+        self._order_pool = ConnectionPool(PoolRules(_CONNECT_TIMEOUT_S))
+        self._holder = OrderHolder(
+            HolderParts(
+                Lease(
+                    writer,
+                    _ORDERS_LEASE,
+                    self._settings['name'],
+                    clock,
+                    self._generator,
+                    _LEASE_S,
+                ),
+                OrderGiver(self._order_pool, self._links.dialect, clock),
+                self._directory,
+                self._in_force,
+                self._fleet_demand,
+                LoadBudget(clock, bounds['loads_window_s']),
+                self._presence.report_soon,
+                self._presence.resign,
+                self._generator.random,
+            ),
+            clock,
+            HolderRules(_LEASE_S, bounds['lease_s'] + _QUIET_MARGIN_S),
+        )
+        self._presence.holder = self._holder
+
+    def _build_forwarding(self) -> None:
+        clock = self._clock
+        self._choice = EarliestChoice(self._generator)
+        self._pool = ConnectionPool(PoolRules(_CONNECT_TIMEOUT_S))
+        self._outliers = OutlierDetector(
+            clock,
+            self._list_siblings,
+            self._may_spare,
+            _EJECTION,
+        )
+        self._budgets = ServiceBudgets(
+            clock,
+            read_budget(self._settings),
+            self._count_hosts,
+        )
+        selector = TargetSelector(
+            self._directory,
+            self._choice,
+            self._outliers,
+            self._settings['data_centre'],
+        )
+        self._forwarder = Forwarder(
+            ForwardingParts(
+                dialect=self._links.dialect,
+                configuration=self._in_force,
+                selector=selector,
+                runner=AttemptRunner(
+                    self._pool,
+                    self._links.dialect,
+                    self._choice,
+                ),
+                outliers=self._outliers,
+                waits=self._waits,
+                demand=self._meter,
+                suspects=self._suspects,
+                metrics=self._metrics,
+                budget_of=self._budgets.of_service,
+                load_estimate=LoadExpectations(
+                    self._directory,
+                    self._in_force,
+                    self._presence,
+                ).estimate,
+            ),
+        )
+        self._front = CallerFront(
+            Address.parse(self._settings['callers']),
+            self._forwarder,
+            self._in_force,
+            self._metrics,
+            clock,
+            self._read_drain_rules,
+        )
+        self._follower = TargetFollower(
+            self._directory,
+            self._links.dialect,
+            self._take_directory_change,
+        )
+        self._watches = Watches(
+            self._links.store,
+            self._links.checkable,
+            self._settings['registry'],
+            self._follower,
+            ConfigurationFollower(
+                self._in_force,
+                self._links.dialect,
+                self._settings['registry']['configuration_name'],
+            ),
+            clock,
+            self._generator,
+            self._target_pause,
+        )
+
+    def _components(self, path: pathlib.Path) -> list[Component]:
+        readiness = self._settings['readiness']
+        metrics = self._settings['metrics']
+        return [
+            self._watches,
+            self._presence,
+            self._hosts,
+            self._holder,
+            Upkeep(
+                self._clock,
+                [
+                    self._pool.sweep,
+                    self._order_pool.sweep,
+                    self._follower.expire,
+                ],
+                self._thaw,
+            ),
+            SettingsWatch(path, self._clock, self._apply),
+            StatusListener(
+                'metrics',
+                Address.parse(metrics['address']),
+                metrics['path'],
+                answer_metrics(self._registry, self._refresh_metrics),
+            ),
+            StatusListener(
+                'readiness',
+                Address.parse(readiness['address']),
+                readiness['path'],
+                answer_readiness(self.is_ready),
+            ),
+            self._front,
+        ]
+
+    def _take_directory_change(self) -> None:
+        instances = frozenset(target.instance for target in self._directory)
+        self._choice.retain(instances)
+        self._outliers.retain(instances)
+        self._waits.wake()
+        self._holder.wake()
+
+    def _list_siblings(self, instance: str) -> list[str]:
+        target = self._directory.get(instance)
+        if target is None:
+            return []
+        return [
+            each.instance for each in self._directory.of_service(target.service)
+        ]
+
+    def _target_pause(self) -> float:
+        if self._holder.is_holder:
+            return _HOLDER_PAUSE_S
+        return _PAUSE_S
+
+    def _may_spare(self, _instance: str) -> bool:
+        # Ejected targets are still used where no other holds a model.
+        return True
+
+    def _count_hosts(self) -> int:
+        return self._presence.host_count or _UNKNOWN_HOSTS
+
+    def _read_drain_rules(self) -> DrainRules:
+        return DrainRules(self._settings['bounds']['stop_s'] * _STOP_SHARE)
+
+    def _refresh_metrics(self) -> None:
+        self._metrics.dropped_lines.set(self._lines.dropped)
+
+    def _thaw(self) -> None:
+        self._pool.close_idle()
+        self._order_pool.close_idle()
+        self._watches.reconnect()
+
+    def _apply(self, settings: EdgeSettings) -> None:
+        self._settings = settings
+        self._budgets.change_rules(read_budget(settings))
+
+
+def read_budget(settings: EdgeSettings) -> BudgetRules:
+    """Return the bound on repeats."""
+    bounds = settings['bounds']
+    return BudgetRules(
+        bounds['retry_ratio'],
+        bounds['retry_slack'],
+        bounds['retry_window_s'],
+    )
--- /dev/null
+++ b/cassiarail/edge/targets.py
@@ -0,0 +1,196 @@
+"""Hold what is known of the targets."""
+
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import NamedTuple
+
+from cassiarail.http1.pool import Address
+
+# Targets whose entries lapsed while the registry was away register again
+# within about two seconds of its return.
+RETURN_PATIENCE_S = 2.0
+# The order holder repeats twice a second what the engines hold. Its word goes
+# before the registry's entry, which may be a second older, for this long.
+TOLD_LIFE_S = 2.0
+
+
+class Want(NamedTuple):
+    """Name a model, or an adapter of it, that a request needs."""
+
+    model: str
+    adapter: str = ''
+
+
+class Holdings(NamedTuple):
+    """Hold what an engine has ready.
+
+    ``models`` maps names to adapter names. ``in_memory`` and ``on_disk`` are
+    the models whose weights load fast. ``order_count`` is the number of
+    orders that the engine had accepted; the registry's entries don't tell it.
+    """
+
+    models: Mapping[str, frozenset[str]]
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+    order_count: int = 0
+
+    def serves(self, want: Want | None) -> bool:
+        """Tell whether a request finds what it needs."""
+        if want is None:
+            return True
+        adapters = self.models.get(want.model)
+        if adapters is None:
+            return False
+        return not want.adapter or want.adapter in adapters
+
+
+NOTHING_HELD = Holdings({})
+
+
+class _Told(NamedTuple):
+    """Hold what the order holder told of an engine, and when."""
+
+    holdings: Holdings
+    received_at: float
+
+
+class Target(NamedTuple):
+    """Describe one start of a target.
+
+    ``born_ms`` tells two starts under one instance name apart.
+    """
+
+    instance: str
+    born_ms: int
+    service: str
+    address: Address
+    data_centre: str
+    slots: int
+    is_leaving: bool = False
+    holdings: Holdings = NOTHING_HELD
+
+    @property
+    def identity(self) -> tuple[str, int]:
+        """Return what names this start of the target."""
+        return (self.instance, self.born_ms)
+
+
+class TargetDirectory:
+    """Hold the targets that the registry lists.
+
+    While the registry returns from an outage, targets that are missing are
+    kept for ``RETURN_PATIENCE_S``, unless they had said that they leave.
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.version = 0
+        self._now = now
+        self._targets: dict[str, Target] = {}
+        self._entries: dict[str, Target] = {}
+        self._patient_until = float('-inf')
+        self._missing: dict[str, float] = {}
+        self._told: dict[tuple[str, int], _Told] = {}
+
+    def __iter__(self) -> Iterator[Target]:
+        return iter(self._targets.values())
+
+    def __len__(self) -> int:
+        return len(self._targets)
+
+    def get(self, instance: str) -> Target | None:
+        """Return a target by the name of its instance."""
+        return self._targets.get(instance)
+
+    def of_service(self, service: str) -> list[Target]:
+        """Return the targets of a service that take new requests."""
+        return [
+            target
+            for target in self._targets.values()
+            if target.service == service and not target.is_leaving
+        ]
+
+    def begin_patience(self) -> None:
+        """Keep missing targets for a while; the registry has returned."""
+        self._patient_until = self._now() + RETURN_PATIENCE_S
+
+    def replace_all(self, targets: Iterable[Target]) -> None:
+        """Take a whole listing."""
+        listed = {target.instance: target for target in targets}
+        for instance in list(self._targets):
+            if instance not in listed:
+                self.remove(instance)
+        for target in listed.values():
+            self.put(target)
+
+    def put(self, target: Target) -> None:
+        """Take the newest description of a target."""
+        self._missing.pop(target.instance, None)
+        earlier = self._entries.get(target.instance)
+        self._entries[target.instance] = target
+        if earlier and earlier.holdings.models != target.holdings.models:
+            self._doubt(target)
+        self._targets[target.instance] = self._combine(target)
+        self.version += 1
+
+    def remove(self, instance: str) -> None:
+        """Forget a target, at once or at the end of the patience."""
+        target = self._targets.get(instance)
+        if target is None:
+            return
+        if self._now() < self._patient_until and not target.is_leaving:
+            self._missing.setdefault(instance, self._patient_until)
+            return
+        self._targets.pop(instance)
+        self._entries.pop(instance, None)
+        self._missing.pop(instance, None)
+        self._told.pop(target.identity, None)
+        self.version += 1
+
+    def expire(self) -> list[str]:
+        """Forget the targets that stayed missing; return their names."""
+        now = self._now()
+        gone = [
+            instance
+            for instance, until in self._missing.items()
+            if now >= until
+        ]
+        for instance in gone:
+            self._missing.pop(instance)
+            self.remove(instance)
+        return gone
+
+    def learn_holdings(
+        self,
+        identity: tuple[str, int],
+        holdings: Holdings,
+    ) -> None:
+        """Take what the order holder knows of an engine."""
+        known = self._told.get(identity)
+        if known and known.holdings.order_count > holdings.order_count:
+            return
+        self._told[identity] = _Told(holdings, self._now())
+        entry = self._entries.get(identity[0])
+        if entry and entry.identity == identity:
+            self._targets[entry.instance] = self._combine(entry)
+            self.version += 1
+
+    def get_entry(self, instance: str) -> Target | None:
+        """Return a target as the registry has it."""
+        return self._entries.get(instance)
+
+    def _doubt(self, entry: Target) -> None:
+        """Drop what a holder told that is silent, for a newer entry."""
+        told = self._told.get(entry.identity)
+        if told and self._now() - told.received_at > TOLD_LIFE_S:
+            self._told.pop(entry.identity)
+
+    def _combine(self, entry: Target) -> Target:
+        """Return an entry with what the order holder knows better."""
+        told = self._told.get(entry.identity)
+        if told is None:
+            return entry
+        return entry._replace(
+            holdings=told.holdings._replace(
+                in_memory=entry.holdings.in_memory,
+                on_disk=entry.holdings.on_disk,
+            ),
+        )
--- /dev/null
+++ b/cassiarail/edge/upkeep.py
@@ -0,0 +1,110 @@
+"""Do what has to happen regularly in a process."""
+
+import asyncio
+import pathlib
+import signal
+import time
+from collections.abc import Callable, Sequence
+
+from cassiarail.conf.edge import EdgeSettings, load_edge_settings
+from cassiarail.conf.files import RejectedSettingsError
+from cassiarail.core.clock import Clock
+from cassiarail.core.events import emit_event
+from cassiarail.core.lifecycle import Component
+from cassiarail.edge.events import (
+    FREEZE_NOTICED,
+    SETTINGS_REJECTED,
+    SETTINGS_RELOADED,
+)
+
+_SWEEP_S = 0.25
+_SETTINGS_S = 1.0
+# A tick that comes later than this means that the process stood still.
+_FREEZE_S = 1.0
+
+
+class Upkeep(Component):
+    """Sweep what has expired, and notice that the process stood still."""
+
+    name = 'upkeep'
+
+    def __init__(
+        self,
+        clock: Clock,
+        sweeps: Sequence[Callable[[], None]],
+        on_thaw: Callable[[], None],
+    ) -> None:
+        """Take a clock that counts the time of suspensions."""
+        self._clock = clock
+        self._sweeps = sweeps
+        self._on_thaw = on_thaw
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            begun = self._clock.monotonic()
+            await self._clock.sleep(_SWEEP_S)
+            late_s = self._clock.monotonic() - begun - _SWEEP_S
+            if late_s > _FREEZE_S:
+                emit_event(FREEZE_NOTICED, seconds=late_s)
+                self._on_thaw()
+            for sweep in self._sweeps:
+                sweep()
+
+
+class SettingsWatch(Component):
+    """Read the settings file again when it changes or at SIGHUP."""
+
+    name = 'settings'
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        clock: Clock,
+        apply: Callable[[EdgeSettings], None],
+    ) -> None:
+        self._path = path
+        self._clock = clock
+        self._apply = apply
+        self._seen = self._read_stamp()
+        self._hung_up = asyncio.Event()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._hung_up.set)
+        while True:
+            try:
+                async with asyncio.timeout(_SETTINGS_S):
+                    await self._hung_up.wait()
+            except TimeoutError:
+                self._reload(is_asked=False)
+            else:
+                self._hung_up.clear()
+                self._reload(is_asked=True)
+
+    def _reload(self, *, is_asked: bool) -> None:
+        stamp = self._read_stamp()
+        if stamp == self._seen and not is_asked:
+            return
+        self._seen = stamp
+        begun = time.perf_counter()
+        try:
+            settings = load_edge_settings(self._path)
+        except RejectedSettingsError as error:
+            emit_event(SETTINGS_REJECTED, error=str(error))
+            return
+        self._apply(settings)
+        emit_event(
+            SETTINGS_RELOADED,
+            signal=is_asked,
+            seconds=time.perf_counter() - begun,
+        )
+
+    def _read_stamp(self) -> tuple[int, int]:
+        try:
+            stat = self._path.stat()
+        except OSError:
+            # Between two versions the file may be missing for a moment.
+            return (0, 0)
+        return (stat.st_mtime_ns, stat.st_size)
--- /dev/null
+++ b/cassiarail/http1/connections.py
@@ -0,0 +1,222 @@
+"""Send requests to one server over one connection.
+
+The whole request is handed to the transport at once, so a server that
+answers before it has read a long body still gets the rest of that body and
+nothing else.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+import h11
+
+from cassiarail.core.exceptions import ConnectionLostError
+from cassiarail.http1.messages import AnswerHead, Headers, RequestHead
+from cassiarail.http1.sockets import watch_for_silence
+
+# An answer's head above this is not read; it is the largest head that the
+# known deployments allow a client.
+_MAX_HEAD_BYTES = 16_384
+# The receive buffer pauses the server beyond this.
+_MAX_UNREAD_BYTES = 262_144
+
+AcceptHead = Callable[[AnswerHead], bool]
+
+
+class ClientConnection(asyncio.Protocol):
+    """Exchange requests and answers, one at a time."""
+
+    def __init__(self, on_closed: Callable[['ClientConnection'], None]) -> None:
+        """Call ``on_closed`` once when the connection has ended."""
+        self.idle_since = float(0)
+        self.keep_alive_s: float | None = None
+        self.is_closed = False
+        self._on_closed = on_closed
+        self._transport: asyncio.Transport | None = None
+        self._parser = _create_parser()
+        self._waiter: asyncio.Future[None] | None = None
+        self._error: str | None = None
+        self._unread = 0
+        self._is_paused = False
+        self._is_busy = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+        watch_for_silence(transport)
+
+    def data_received(self, received: bytes) -> None:
+        """Feed the parser; bytes on an idle connection belong to nothing."""
+        if not self._is_busy:
+            self.abort('bytes without a request')
+            return
+        self._parser.receive_data(received)
+        self._unread += len(received)
+        if self._unread > _MAX_UNREAD_BYTES and self._transport:
+            self._is_paused = True
+            self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Tell the parser that the server sent its last byte."""
+        if self._is_busy:
+            self._parser.receive_data(b'')
+        self.is_closed = True
+        self._wake()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail the exchange in progress, unless its answer is complete."""
+        if error is not None or self._error is None:
+            self._error = repr(error) if error else 'closed by the server'
+        self.is_closed = True
+        self._wake()
+        self._on_closed(self)
+
+    def abort(self, reason: str) -> None:
+        """Drop the connection at once."""
+        self._error = self._error or reason
+        self.is_closed = True
+        if self._transport is not None:
+            self._transport.abort()
+        self._wake()
+
+    def send(self, head: RequestHead, body: bytes) -> None:
+        """Send a whole request; ``head`` holds no framing headers."""
+        self._is_busy = True
+        if self._transport is None or self.is_closed:
+            raise ConnectionLostError(self._error or 'connection is closed')
+        self._transport.write(self._encode(head, body))
+
+    async def read_head(self, accept: AcceptHead) -> AnswerHead:
+        """Return the head of the first answer that is accepted.
+
+        Answers that are not accepted belong to earlier requests; they are
+        read to their end and dropped. Raises ``ConnectionLostError``.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                head = AnswerHead(
+                    event.status_code,
+                    bytes(event.reason),
+                    list(event.headers),
+                )
+                if accept(head):
+                    return head
+                await self._skip_answer()
+
+    async def read_piece(self) -> bytes | None:
+        """Return the next bytes of the body, or ``None`` at its end."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                return None
+
+    async def read_body(self, limit: int) -> bytes:
+        """Return a whole body of at most ``limit`` bytes."""
+        pieces: list[bytes] = []
+        size = 0
+        while True:
+            piece = await self.read_piece()
+            if piece is None:
+                return b''.join(pieces)
+            size += len(piece)
+            if size > limit:
+                raise self._fail('answer is too large')
+            pieces.append(piece)
+
+    def finish(self) -> bool:
+        """End the exchange; tell whether the connection can be used again."""
+        self._is_busy = False
+        if self.is_closed or self._transport is None:
+            return False
+        parser = self._parser
+        is_done = (
+            parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        )
+        unsent = self._transport.get_write_buffer_size()
+        if not is_done or parser.trailing_data[0] or unsent:
+            self.abort('connection cannot be used again')
+            return False
+        parser.start_next_cycle()
+        return True
+
+    def _encode(self, head: RequestHead, body: bytes) -> bytes:
+        framing: Headers = []
+        if body or head.method not in {b'GET', b'HEAD', b'DELETE'}:
+            framing.append((b'content-length', b'%d' % len(body)))
+        request = h11.Request(
+            method=head.method,
+            target=head.target,
+            headers=[*head.headers, *framing],
+        )
+        encoded = self._parser.send(request) or b''
+        if body:
+            encoded += self._parser.send(h11.Data(data=body)) or b''
+        return encoded + (self._parser.send(h11.EndOfMessage()) or b'')
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise self._fail(f'answer is not HTTP: {error}') from error
+            if event is h11.NEED_DATA:
+                await self._wait_for_data()
+            elif isinstance(event, h11.ConnectionClosed):
+                raise self._fail(self._error or 'closed before the answer')
+            elif isinstance(event, h11.Event):
+                return event
+            else:
+                raise self._fail('bytes after the answer')
+
+    async def _wait_for_data(self) -> None:
+        self._unread = 0
+        if self._is_paused and self._transport and not self.is_closed:
+            self._is_paused = False
+            self._transport.resume_reading()
+        if self._error is not None:
+            raise self._fail(self._error)
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    async def _skip_answer(self) -> None:
+        await self.read_piece_end()
+        left, is_eof = self._parser.trailing_data
+        # The same request waits on; only the parser starts over.
+        self._parser = _create_parser()
+        self._parser.send(
+            h11.Request(method='GET', target='/', headers=[('host', '-')]),
+        )
+        self._parser.send(h11.EndOfMessage())
+        if left:
+            self._parser.receive_data(left)
+        if is_eof:
+            self._parser.receive_data(b'')
+
+    async def read_piece_end(self) -> None:
+        """Read a body to its end and drop it."""
+        while await self.read_piece() is not None:
+            continue
+
+    def _fail(self, reason: str) -> ConnectionLostError:
+        self.abort(reason)
+        return ConnectionLostError(reason)
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+def _create_parser() -> h11.Connection:
+    return h11.Connection(
+        h11.CLIENT,
+        max_incomplete_event_size=_MAX_HEAD_BYTES,
+    )
--- /dev/null
+++ b/cassiarail/limits/shared_budget.py
@@ -0,0 +1,66 @@
+"""Share a budget of repeats between hosts that may not see each other.
+
+Answers the load of failing or full targets: without a bound, the repeats of
+every host would multiply the load of a service that is short of capacity.
+"""
+
+import collections
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cassiarail.core.clock import Clock
+
+# The share of the budget that is used, as windows of hosts don't coincide.
+_PRUDENCE = 0.8
+
+
+class BudgetRules(NamedTuple):
+    """Bound the repeats to a service in any window of ``window_s`` seconds.
+
+    All hosts together may repeat ``ratio`` of the requests in the window and
+    ``slack`` requests more.
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+class SharedBudget:
+    """Spend this host's part of the budget for one service.
+
+    The ratio applies to the host's own requests, and the slack is divided by
+    the number of hosts, so that hosts need not hear from each other.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rules: BudgetRules,
+        count_hosts: Callable[[], int],
+    ) -> None:
+        self._clock = clock
+        self.rules = rules
+        self._count_hosts = count_hosts
+        self._requests: collections.deque[float] = collections.deque()
+        self._repeats: collections.deque[float] = collections.deque()
+
+    def record_request(self) -> None:
+        """Count a caller's request to the service."""
+        self._requests.append(self._clock.monotonic())
+
+    def try_spend(self) -> bool:
+        """Take one repeat and tell whether it was there."""
+        now = self._clock.monotonic()
+        self._forget(now)
+        slack = self.rules.slack / max(1, self._count_hosts())
+        allowed = self.rules.ratio * len(self._requests) + slack
+        if len(self._repeats) + 1 > allowed * _PRUDENCE:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        for times in (self._requests, self._repeats):
+            while times and times[0] <= now - self.rules.window_s:
+                times.popleft()
--- /dev/null
+++ b/cassiarail/platform/documents.py
@@ -0,0 +1,231 @@
+"""Decode the documents of the platform's store into the product's types."""
+
+from typing import Any, Literal
+
+import msgspec
+
+from cassiarail.edge.configuration import (
+    Configuration,
+    EngineType,
+    Model,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from cassiarail.edge.dialect import UnreadableDocumentError
+from cassiarail.edge.targets import Holdings, Target
+from cassiarail.http1.listener import ClientLimits
+from cassiarail.http1.pool import Address
+
+_MS = 1000
+_MEGABYTE = 1_000_000
+
+
+class _Held(msgspec.Struct):
+    name: str
+    adapters: list[str] = []
+
+
+class _AtHand(msgspec.Struct):
+    in_memory: list[str] = []
+    on_disk: list[str] = []
+
+
+class _Server(msgspec.Struct):
+    """An engine's entry; its ``seq`` counts heartbeats, not orders."""
+
+    service: str
+    addr: str
+    zone: str
+    slots: int
+    state: Literal['ready', 'draining']
+    born: int = 0
+    models: list[_Held] = []
+    at_hand: _AtHand | None = None
+
+
+class _Report(msgspec.Struct):
+    """An engine's report; ``seq`` counts the orders that it accepted."""
+
+    models: list[_Held]
+    seq: int
+    busy: bool
+    born: int = 0
+    at_hand: _AtHand | None = None
+
+
+class _Share(msgspec.Struct):
+    service: str
+    wt: int
+
+
+class _Route(msgspec.Struct):
+    """A route; ``goal_ms`` is its objective and ``priority`` its rank."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: int
+    attempts: int
+    goal_ms: int = 1000
+    priority: int = 0
+    service: str = ''
+    split: list[_Share] = []
+    can_resume: bool = False
+    gap_aim_ms: int = 0
+
+
+class _Model(msgspec.Struct):
+    """A model; ``adapters`` is a number, not a list as in entries."""
+
+    name: str
+    weights_mb: float
+    load_s: float
+    adapters: int = 0
+    adapter_mb: float = 0
+    warm_s: float | None = None
+    disk_s: float | None = None
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_tokens: int
+    models: list[_Model] = []
+    weights_mb: float = 0
+    adapter_slots: int = 0
+    loads_per_s: float = 1
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 64
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3000
+    idle_ms: int = 15_000
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+
+def decode_target(instance: str, document: Any) -> Target:
+    """Read an engine's entry; raise ``UnreadableDocumentError``."""
+    try:
+        entry = msgspec.convert(document, _Server)
+        address = Address.parse(entry.addr)
+    except ValueError as error:
+        raise UnreadableDocumentError(f'{instance}: {error}') from error
+    return Target(
+        instance=instance,
+        born_ms=entry.born,
+        service=entry.service,
+        address=address,
+        data_centre=entry.zone,
+        slots=max(1, entry.slots),
+        is_leaving=entry.state == 'draining',
+        holdings=_read_holdings(0, entry.models, entry.at_hand),
+    )
+
+
+def decode_report(body: bytes) -> tuple[int, Holdings, bool]:
+    """Read an engine's report; raise ``UnreadableDocumentError``."""
+    try:
+        report = msgspec.json.decode(body, type=_Report)
+    except ValueError as error:
+        raise UnreadableDocumentError(f'report: {error}') from error
+    held = _read_holdings(report.seq, report.models, report.at_hand)
+    return report.born, held, report.busy
+
+
+def decode_configuration(document: Any) -> Configuration:
+    """Read the operator's configuration."""
+    try:
+        config = msgspec.convert(document, _Config)
+        routes = tuple(_read_route(route) for route in config.routes)
+    except ValueError as error:
+        raise UnreadableDocumentError(f'configuration: {error}') from error
+    limits = config.limits
+    return Configuration(
+        config.version,
+        routes,
+        {each.name: _read_service(each) for each in config.services},
+        ClientLimits(
+            head_max_bytes=limits.max_header_bytes,
+            body_max_bytes=limits.max_body_bytes,
+            read_timeout_s=limits.header_timeout_ms / _MS,
+            idle_s=limits.idle_ms / _MS,
+        ),
+    )
+
+
+def _read_holdings(
+    order_count: int,
+    models: list[_Held],
+    at_hand: _AtHand | None,
+) -> Holdings:
+    copies = at_hand or _AtHand()
+    return Holdings(
+        {held.name: frozenset(held.adapters) for held in models},
+        frozenset(copies.in_memory),
+        frozenset(copies.on_disk),
+        order_count,
+    )
+
+
+def _read_route(route: _Route) -> Route:
+    shares = [ServiceShare(part.service, part.wt) for part in route.split]
+    if not shares:
+        shares = [ServiceShare(route.service, 1)]
+    return Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=RouteKind(route.kind),
+        timeout_s=route.timeout_ms / _MS,
+        objective_s=route.goal_ms / _MS,
+        rank=route.priority,
+        shares=tuple(shares),
+        attempts=route.attempts,
+        can_resume=route.can_resume,
+        pause_s=route.gap_aim_ms / _MS,
+    )
+
+
+def _read_service(service: _Service) -> Service:
+    engine = service.engine
+    if engine is None:
+        return Service(service.name, service.max_conns, None)
+    return Service(
+        service.name,
+        service.max_conns,
+        EngineType(
+            slots=engine.slots,
+            kv_token_capacity=engine.kv_tokens,
+            weights_bytes=int(engine.weights_mb * _MEGABYTE),
+            adapter_places=engine.adapter_slots,
+            loads_per_s=engine.loads_per_s,
+            models={each.name: _read_model(each) for each in engine.models},
+        ),
+    )
+
+
+def _read_model(model: _Model) -> Model:
+    return Model(
+        name=model.name,
+        weights_bytes=int(model.weights_mb * _MEGABYTE),
+        adapter_count=model.adapters,
+        adapter_bytes=int(model.adapter_mb * _MEGABYTE),
+        store_load_s=model.load_s,
+        disk_load_s=model.load_s if model.disk_s is None else model.disk_s,
+        memory_load_s=model.load_s if model.warm_s is None else model.warm_s,
+    )
--- a/cassiarail/store/events.py
+++ b/cassiarail/store/events.py
@@ -15,3 +15,28 @@
     level=logging.INFO,
     summary='outcome of an unanswered write was read back',
 )
+WATCH_LOST = define_event(
+    number=4110,
+    level=logging.WARNING,
+    summary='watch of the object API failed; trying again',
+)
+WATCH_REGAINED = define_event(
+    number=4111,
+    level=logging.INFO,
+    summary='watch of the object API works again',
+)
+WATCH_EXPIRED = define_event(
+    number=4112,
+    level=logging.INFO,
+    summary='history of the object API is gone; listing again',
+)
+STORE_LOST = define_event(
+    number=4113,
+    level=logging.WARNING,
+    summary='object API does not answer',
+)
+STORE_REGAINED = define_event(
+    number=4114,
+    level=logging.INFO,
+    summary='object API answers again',
+)
--- a/cassiarail/store/leases.py
+++ b/cassiarail/store/leases.py
@@ -78,6 +78,12 @@
             and self._clock.monotonic() < self._valid_until
         )
 
+    def seconds_left(self) -> float:
+        """Return how long the holder may still act."""
+        if self._own is None:
+            return 0
+        return max(0, self._valid_until - self._clock.monotonic())
+
     async def attempt(self) -> bool:
         """Acquire or renew the lease; tell whether it is held.
 
--- /dev/null
+++ b/cassiarail/store/watching.py
@@ -0,0 +1,121 @@
+"""Follow the objects of one kind."""
+
+import abc
+import random
+from collections.abc import Callable
+
+import anyio
+
+from cassiarail.core.backoff import Backoff
+from cassiarail.core.clock import Clock
+from cassiarail.core.events import emit_event
+from cassiarail.core.exceptions import StoreError, WatchExpiredError
+from cassiarail.store.backends.base import Listing, ObjectStore, WatchBatch
+from cassiarail.store.events import (
+    WATCH_EXPIRED,
+    WATCH_LOST,
+    WATCH_REGAINED,
+)
+
+# The longest wait that the object API takes; each wait is one priced call.
+WATCH_WAIT_S = 30.0
+_RETRY = Backoff(base_s=0.1, cap_s=0.8)
+
+
+class Follower(abc.ABC):
+    """Take the objects of one kind as they change."""
+
+    @abc.abstractmethod
+    def take_listing(self, listing: Listing) -> None:
+        """Take all objects; what is not listed is gone."""
+
+    @abc.abstractmethod
+    def take_batch(self, batch: WatchBatch) -> None:
+        """Take changes."""
+
+    def begin_return(self) -> None:
+        """Prepare for the first answer after an outage."""
+
+
+def _no_pause() -> float:
+    return 0
+
+
+class KindWatcher:
+    """List the objects of a kind once, then watch them."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        kind: str,
+        follower: Follower,
+        clock: Clock,
+        generator: random.Random,
+        pause_s: Callable[[], float] = _no_pause,
+    ) -> None:
+        """Wait ``pause_s`` after changes, so that one call brings several."""
+        self.kind = kind
+        self._pause_s = pause_s
+        self.has_listed = False
+        self._store = store
+        self._follower = follower
+        self._clock = clock
+        self._generator = generator
+        self._revision: int | None = None
+        self._failures = 0
+        self._scope = anyio.CancelScope()
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                with anyio.CancelScope() as self._scope:
+                    await self._advance()
+            except WatchExpiredError:
+                emit_event(WATCH_EXPIRED, kind=self.kind)
+                self._revision = None
+            except StoreError as error:
+                await self._wait_after(error)
+            else:
+                self._note_success()
+
+    def resume_after_outage(self) -> None:
+        """Drop a wait that an outage may have left without an answer."""
+        self._follower.begin_return()
+        self._scope.cancel()
+
+    async def _advance(self) -> None:
+        if self._revision is None:
+            listing = await self._store.list_objects(self.kind)
+            self._note_success()
+            self._follower.take_listing(listing)
+            self._revision = listing.revision
+            self.has_listed = True
+            return
+        batch = await self._store.watch(
+            self.kind,
+            self._revision,
+            WATCH_WAIT_S,
+        )
+        self._note_success()
+        self._follower.take_batch(batch)
+        self._revision = batch.revision
+        await self._clock.sleep(self._pause_s())
+
+    async def _wait_after(self, error: StoreError) -> None:
+        if not self._failures:
+            emit_event(WATCH_LOST, kind=self.kind, error=error.message)
+        self._failures += 1
+        await self._clock.sleep(
+            _RETRY.delay(self._failures, self._generator),
+        )
+
+    def _note_success(self) -> None:
+        if self._failures:
+            emit_event(
+                WATCH_REGAINED,
+                kind=self.kind,
+                failures=self._failures,
+            )
+            self._failures = 0
+            self._follower.begin_return()
--- a/tests/conf/test_loader.py
+++ b/tests/conf/test_loader.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from cassiarail.conf.loader import RejectedSettingsError, load_settings
+from cassiarail.conf.files import RejectedSettingsError
+from cassiarail.conf.loader import load_settings
 from cassiarail.conf.schema import GatewaySettings
 
 VALID = {
