--- a/cassiarail/edge/attempts.py
+++ b/cassiarail/edge/attempts.py
@@ -1,7 +1,9 @@
 """Send a request to one target and pass its answer on."""
 
 import asyncio
-from typing import NamedTuple
+import http
+from collections.abc import Coroutine
+from typing import Any, NamedTuple, TypeVar
 
 from cassiarail.core.exceptions import (
     ConnectFailedError,
@@ -21,10 +23,18 @@
 from cassiarail.http1.pool import ConnectionPool
 from cassiarail.routing.earliest import EarliestChoice
 
+_Read = TypeVar('_Read')
 _MAX_ANSWER_BYTES = 8_388_608
-_SUCCESSES = range(200, 300)
+_SUCCESSES = range(http.HTTPStatus.OK, http.HTTPStatus.MULTIPLE_CHOICES)
 # Statuses that promise that a request has not run and never will.
-_PROMISES = frozenset((408, 421, 429, 503))
+_PROMISES = frozenset(
+    (
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    ),
+)
 _HEAD = b'HEAD'
 
 
@@ -41,7 +51,7 @@
     first_answer_s: float = 1.2
     objectives_to_wait: float = 2.5
     pauses_to_wait: float = 6.0
-    stall_s: float = 1.0
+    stall_s: float = 1.5
 
 
 class AttemptRunner:
@@ -133,29 +143,49 @@
         job: Job,
         connection: ClientConnection,
     ) -> tuple[AnswerHead, AnswerFacts]:
-        decoded: list[AnswerFacts] = []
+        request_id = job.request.request_id
+        head = await self._wait_for_target(
+            job,
+            connection.read_head(
+                lambda found: self._belongs_to(found, request_id),
+            ),
+            self._head_patience(job),
+        )
+        return head, self._dialect.decode_answer(head)
 
-        def accept(head: AnswerHead) -> bool:
-            facts = self._dialect.decode_answer(head)
-            named = facts.request_id
-            if named is None and head.status not in _SUCCESSES:
-                decoded.append(facts)
-                return True
-            if named == job.request.request_id:
-                decoded.append(facts)
-                return True
-            return False
+    def _belongs_to(self, head: AnswerHead, request_id: str) -> bool:
+        """Tell whether an answer is not one to an earlier request."""
+        named = self._dialect.decode_answer(head).request_id
+        if named is None:
+            return head.status not in _SUCCESSES
+        return named == request_id
 
+    async def _wait_for_target(
+        self,
+        job: Job,
+        work: Coroutine[Any, Any, _Read],
+        patience_s: float | None,
+    ) -> _Read:
+        """Wait for a target, unless it is slow and another could take over."""
+        if patience_s is None:
+            return await work
+        reading = asyncio.ensure_future(work)
         try:
-            async with asyncio.timeout(self._head_patience(job)):
-                head = await connection.read_head(accept)
-        except TimeoutError as error:
-            raise ConnectionLostError('no answer in time') from error
-        return head, decoded[-1]
+            while True:
+                done, _pending = await asyncio.wait(
+                    [reading],
+                    timeout=patience_s,
+                )
+                if done:
+                    return reading.result()
+                if job.may_switch():
+                    raise ConnectionLostError('target stood still')
+        finally:
+            reading.cancel()
 
     def _head_patience(self, job: Job) -> float | None:
         """Return when another target is tried; ``None`` stands for never."""
-        if not job.route.may_repeat or job.runs + 1 >= job.route.attempts:
+        if not _may_run_again(job):
             return None
         return max(
             self._rules.first_answer_s,
@@ -231,17 +261,16 @@
         job: Job,
         connection: ClientConnection,
     ) -> bytes | None:
-        if job.splitter is None or job.runs + 1 >= job.route.attempts:
+        if job.splitter is None or not _may_run_again(job):
             return await connection.read_piece()
-        stall_s = max(
-            self._rules.stall_s,
-            self._rules.pauses_to_wait * job.route.pause_s,
+        return await self._wait_for_target(
+            job,
+            connection.read_piece(),
+            max(
+                self._rules.stall_s,
+                self._rules.pauses_to_wait * job.route.pause_s,
+            ),
         )
-        try:
-            async with asyncio.timeout(stall_s):
-                return await connection.read_piece()
-        except TimeoutError as error:
-            raise ConnectionLostError('stream stood still') from error
 
     def _leave(self, job: Job, connection: ClientConnection) -> None:
         """End an attempt whose caller has left or ran out of time."""
@@ -269,6 +298,10 @@
         self._pool.release(connection)
 
 
+def _may_run_again(job: Job) -> bool:
+    return job.route.may_repeat and job.runs + 1 < job.route.attempts
+
+
 def _lost(job: Job, reason: str) -> AttemptResult:
     job.in_flight = False
     if not job.has_begun:
--- a/cassiarail/edge/demand.py
+++ b/cassiarail/edge/demand.py
@@ -25,20 +25,24 @@
     refused: int
 
 
+_Key = tuple[str, Want]
+
+
+class _Moment(NamedTuple):
+    """Hold when something was asked for."""
+
+    at: float
+    key: _Key
+
+
 class DemandMeter:
     """Count requests by what they need."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._in_flight: collections.Counter[tuple[str, Want]] = (
-            collections.Counter()
-        )
-        self._asked: collections.deque[tuple[float, tuple[str, Want]]] = (
-            collections.deque()
-        )
-        self._refused: collections.deque[tuple[float, tuple[str, Want]]] = (
-            collections.deque()
-        )
+        self._in_flight: collections.Counter[_Key] = collections.Counter()
+        self._asked: collections.deque[_Moment] = collections.deque()
+        self._refused: collections.deque[_Moment] = collections.deque()
 
     @contextlib.contextmanager
     def track(self, service: str, want: Want | None) -> Iterator[None]:
@@ -47,7 +51,7 @@
             yield
             return
         key = (service, want)
-        self._asked.append((self._clock.monotonic(), key))
+        self._asked.append(_Moment(self._clock.monotonic(), key))
         self._in_flight[key] += 1
         try:
             yield
@@ -56,16 +60,17 @@
 
     def note_refused(self, service: str, want: Want) -> None:
         """Count a request that was turned away because nothing holds it."""
-        self._refused.append((self._clock.monotonic(), (service, want)))
+        now = self._clock.monotonic()
+        self._refused.append(_Moment(now, (service, want)))
 
     def measure(self) -> list[Demand]:
         """Return the demand of the last seconds."""
         begun = self._clock.monotonic() - _WINDOW_S
         for times in (self._asked, self._refused):
-            while times and times[0][0] < begun:
+            while times and times[0].at < begun:
                 times.popleft()
-        asked = collections.Counter(key for _at, key in self._asked)
-        refused = collections.Counter(key for _at, key in self._refused)
+        asked = collections.Counter(each.key for each in self._asked)
+        refused = collections.Counter(each.key for each in self._refused)
         keys = asked.keys() | {
             key for key, count in self._in_flight.items() if count
         }
--- a/cassiarail/edge/engines.py
+++ b/cassiarail/edge/engines.py
@@ -13,6 +13,8 @@
 _ENTRY_LAG_S = 3.0
 # An unload waits for the runs of its model; after this the plan is made anew.
 _INTENT_S = 4.0
+# Stands for an engine that has had no order of this holder.
+_LONG_AGO_S = 3600.0
 
 
 class EngineRecord:
@@ -27,6 +29,7 @@
         self.intended_until = float(0)
         self.ready_at = float(0)
         self.in_order = False
+        self.ordered_at = clock.monotonic() - _LONG_AGO_S
         self.needs_report = True
         self.report_after = float(0)
         self.loaded_at: dict[str, float] = {}
@@ -65,8 +68,12 @@
             self.changed_at = now
 
     def take_report(self, holdings: Holdings, *, is_busy: bool) -> None:
-        """Take the engine's own word."""
-        self.needs_report = False
+        """Take the engine's own word.
+
+        A report doesn't name what an order of an earlier holder is loading,
+        so that an engine which is busy with one has to be asked again.
+        """
+        self.needs_report = is_busy and self.settling is None
         if not holdings.in_memory and not holdings.on_disk:
             holdings = holdings._replace(
                 in_memory=self.holdings.in_memory,
@@ -143,6 +150,16 @@
             adapter_idle_s=adapter_idle_s,
         )
 
+    def idle_s(self) -> float:
+        """Return how long ago the last order was sent."""
+        return self._clock.monotonic() - self.ordered_at
+
+    def check_late(self, now: float, late_s: float) -> None:
+        """Ask for a report if an entry doesn't show the end of an order."""
+        if self.settling and now > self.ready_at + late_s:
+            self.ready_at = now
+            self.needs_report = True
+
     @property
     def settling(self) -> Want | None:
         """Return what is being loaded or unloaded."""
--- a/cassiarail/edge/event_stream.py
+++ b/cassiarail/edge/event_stream.py
@@ -22,13 +22,15 @@
             joined.rfind(boundary) + len(boundary) if boundary in joined else 0
             for boundary in _BOUNDARIES
         )
-        whole, self._partial = joined[:end], joined[end:]
+        whole = joined[:end]
+        self._partial = joined[end:]
         self._note_id(whole)
         return whole
 
     def take_rest(self) -> bytes:
         """Return what is left at the end of a complete stream."""
-        rest, self._partial = self._partial, b''
+        rest = self._partial
+        self._partial = b''
         return rest
 
     def drop_partial(self) -> None:
--- a/cassiarail/edge/forwarding.py
+++ b/cassiarail/edge/forwarding.py
@@ -79,7 +79,13 @@
         self.accepts_new = True
         self._parts = parts
 
-    async def handle(self, exchange: Exchange) -> None:
+    def refuse_new(self) -> None:
+        """Turn away new requests and those that wait for a model."""
+        if self.accepts_new:
+            self.accepts_new = False
+            self._parts.waits.close()
+
+    async def answer(self, exchange: Exchange) -> None:
         """Answer one request; never raise."""
         try:
             job = self._admit(exchange)
@@ -116,14 +122,14 @@
         return Job(exchange, request, configuration, route)
 
     async def _serve(self, job: Job) -> None:
-        job_result = 'crashed'
+        told = 'crashed'
         try:
-            job_result = await self._serve_in_time(job)
+            told = await self._serve_in_time(job)
         except asyncio.CancelledError:
-            job_result = 'caller left'
+            told = 'caller left'
             raise
         except Refusal as refusal:
-            job_result = f'refused: {refusal.reason}'
+            told = f'refused: {refusal.reason}'
             self._refuse(job.exchange, refusal, job)
         except Exception as error:
             emit_event(
@@ -133,7 +139,7 @@
             )
             self._fail(job, http.HTTPStatus.BAD_GATEWAY)
         finally:
-            self._record(job, job_result)
+            self._record(job, told)
 
     async def _serve_in_time(self, job: Job) -> str:
         self._parts.budget_of(job.service.name).record_request()
@@ -160,7 +166,7 @@
         if job.has_begun:
             job.exchange.break_off()
             return 'stream broken off'
-        failures = [each for each in job.results if each.answer is not None]
+        failures = [each for each in job.attempts if each.answer is not None]
         if failures and failures[-1].answer is not None:
             job.exchange.answer(*failures[-1].answer)
             return 'failure of the target'
@@ -177,53 +183,54 @@
         while True:
             target = await self._find_target(job)
             if target is None:
-                return job.results[-1]
-            result = await self._attempt(job, target)
-            if not self._may_go_on(job, result):
-                return result
+                return job.attempts[-1]
+            ended = await self._attempt(job, target)
+            if not self._may_go_on(job, ended):
+                return ended
 
     async def _attempt(self, job: Job, target: Target) -> AttemptResult:
         job.tried.append(target)
-        result = await self._parts.runner.run(job, target)
-        job.results.append(result)
-        self._parts.metrics.count_attempt(result.outcome.value)
-        if result.outcome is Outcome.ANSWERED:
+        job.may_switch = lambda: self._parts.selector.choose(job) is not None
+        ended = await self._parts.runner.run(job, target)
+        job.attempts.append(ended)
+        self._parts.metrics.count_attempt(ended.outcome.value)
+        if ended.outcome is Outcome.ANSWERED:
             self._parts.outliers.record_success(target.instance)
-            return result
+            return ended
         emit_event(
             ATTEMPT_FAILED,
             request=job.request.request_id,
             target=target.instance,
             address=str(target.address),
-            outcome=result.outcome.value,
-            reason=result.reason,
+            outcome=ended.outcome.value,
+            reason=ended.reason,
             directory=target.holdings.order_count,
         )
-        if result.outcome is Outcome.NOT_RUN:
+        if ended.outcome is Outcome.NOT_RUN:
             self._parts.selector.note_absent(target, job.request.want)
         else:
-            self._note_failure(job, target, result)
-        return result
+            self._note_failure(job, target, ended)
+        return ended
 
     def _note_failure(
         self,
         job: Job,
         target: Target,
-        result: AttemptResult,
+        ended: AttemptResult,
     ) -> None:
-        if result.outcome is not Outcome.FAILED:
+        if ended.outcome is not Outcome.FAILED:
             self._parts.suspects.record(job.fingerprint(), target.identity)
         if self._parts.outliers.record_failure(target.instance):
             emit_event(TARGET_EJECTED, target=target.instance)
 
-    def _may_go_on(self, job: Job, result: AttemptResult) -> bool:
-        """Tell whether another target may be tried after a result."""
-        if result.outcome is Outcome.ANSWERED:
+    def _may_go_on(self, job: Job, ended: AttemptResult) -> bool:
+        """Tell whether another target may be tried after a ended."""
+        if ended.outcome is Outcome.ANSWERED:
+            return False
+        is_repeat = ended.outcome is not Outcome.NOT_RUN
+        if is_repeat and not _may_repeat(job):
             return False
-        if result.outcome is not Outcome.NOT_RUN:
-            if not job.route.may_repeat or job.runs >= job.route.attempts:
-                return False
-        if len(job.results) >= _MAX_SENDS:
+        if len(job.attempts) >= _MAX_SENDS:
             return False
         return self._parts.budget_of(job.service.name).try_spend()
 
@@ -239,7 +246,7 @@
             )
         while True:
             target = self._parts.selector.choose(job)
-            if target is not None or job.results:
+            if target is not None or job.attempts:
                 return target
             await self._wait_for_target(job)
 
@@ -314,7 +321,7 @@
                 reason=refusal.reason,
             )
 
-    def _record(self, job: Job, result: str) -> None:
+    def _record(self, job: Job, ended: str) -> None:
         seconds = asyncio.get_running_loop().time() - job.exchange.received_at
         self._parts.metrics.count_request(
             job.route.kind.value,
@@ -325,7 +332,7 @@
         emit_event(
             REQUEST_ENDED,
             request=job.request.request_id,
-            result=result,
+            ended=ended,
             verdict=job.verdict.value,
             route=job.route.name,
             service=job.service.name,
@@ -336,6 +343,10 @@
         )
 
 
+def _may_repeat(job: Job) -> bool:
+    return job.route.may_repeat and job.runs < job.route.attempts
+
+
 def _answer(
     exchange: Exchange,
     status: int,
--- a/cassiarail/edge/front.py
+++ b/cassiarail/edge/front.py
@@ -49,7 +49,7 @@
         self._rules = rules
         self._listener = Http1Listener(
             address,
-            forwarder.handle,
+            forwarder.answer,
             configuration.limits,
             self._count_unread,
         )
@@ -72,7 +72,7 @@
         emit_event(DRAIN_BEGINS, in_progress=self._listener.in_progress)
         while self._clock.monotonic() - begun < rules.limit_s:
             if self._clock.monotonic() - begun >= rules.announce_s:
-                self._forwarder.accepts_new = False
+                self._forwarder.refuse_new()
                 self._listener.close_idle()
                 if not self._listener.in_progress:
                     break
--- a/cassiarail/edge/holder.py
+++ b/cassiarail/edge/holder.py
@@ -1,4 +1,4 @@
-"""Hold the lease on the engines and give them orders."""
+"""Plan for the engines and give them orders, while the lease is held."""
 
 import asyncio
 from collections.abc import Callable, Coroutine
@@ -7,8 +7,6 @@
 import anyio
 
 from cassiarail.core.clock import Clock
-from cassiarail.core.events import emit_event
-from cassiarail.core.exceptions import StoreError
 from cassiarail.core.lifecycle import Component
 from cassiarail.edge.configuration import ConfigurationInForce, EngineType
 from cassiarail.edge.engines import (
@@ -16,121 +14,83 @@
     EngineRecord,
     EngineRecords,
 )
-from cassiarail.edge.events import HOLDER_BEGINS, HOLDER_ENDS
 from cassiarail.edge.fleet_demand import FleetDemand
 from cassiarail.edge.messages import EngineRow, ExpectedRow
 from cassiarail.edge.orders import LoadBudget, OrderGiver
 from cassiarail.edge.targets import Target, TargetDirectory
+from cassiarail.edge.tenure import Tenure
 from cassiarail.placement.ondemand import (
     Fleet,
     ModelFacts,
     Step,
     plan_steps,
 )
-from cassiarail.store.leases import Lease
 
 _TICK_S = 0.1
-_RENEWALS_PER_LEASE = 3
-# Orders end this long before the lease does, so that one under way arrives
-# in time.
-_STOP_EARLY_S = 0.5
-# An engine still loads when its entry says so late; a report is read then.
-_LATE_LOAD_S = 1.5
-
-
-class HolderRules(NamedTuple):
-    """Hold the times of a tenure in seconds.
-
-    ``quiet_s`` passes between the last order of one holder and the first of
-    the next. ``silence_s`` is how long others wait for the holder's word
-    before they try to take the lease.
-    """
-
-    lease_s: float
-    quiet_s: float
-    silence_s: float = 1.5
+# A report is read if an engine's entry doesn't show the end of a load or an
+# unload this long after it was due.
+_LATE_S = 1.5
 
 
 class HolderParts(NamedTuple):
     """Hold what the order holder works with."""
 
-    lease: Lease
+    tenure: Tenure
     giver: OrderGiver
     directory: TargetDirectory
     configuration: ConfigurationInForce
     demand: FleetDemand
     budget: LoadBudget
     announce: Callable[[], None]
-    resign: Callable[[], None]
-    jitter: Callable[[], float]
 
 
 class OrderHolder(Component):
-    """Compete for the lease; while it is held, plan and give orders."""
+    """Plan and give orders while this host holds the lease."""
 
     name = 'order holder'
 
-    def __init__(
-        self,
-        parts: HolderParts,
-        clock: Clock,
-        rules: HolderRules,
-    ) -> None:
-        self.heard_at = float('-inf')
+    def __init__(self, parts: HolderParts, clock: Clock) -> None:
         self._parts = parts
         self._clock = clock
-        self._rules = rules
         self._records = EngineRecords(clock)
-        self._orders_from = float('inf')
-        self._renew_at = float(0)
         self._work = asyncio.Event()
-        self._is_holder = False
-        self._fence = 0
-        self._is_stopping = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
     def is_holder(self) -> bool:
         """Tell whether this host holds the lease."""
-        return self._is_holder and self._parts.lease.is_held()
-
-    @property
-    def fence(self) -> int:
-        """Return the number of the tenure."""
-        return self._fence
+        return self._parts.tenure.is_held()
 
     def wake(self) -> None:
         """Plan at once."""
         self._work.set()
 
-    def hear_holder(self) -> None:
-        """Note that another host holds the lease and is alive."""
-        self.heard_at = self._clock.monotonic()
+    def begin(self) -> None:
+        """Start to learn what the engines hold."""
+        self._records.clear()
+        self.wake()
 
-    def hear_resignation(self) -> None:
-        """Note that the lease was given back."""
-        self.heard_at = float('-inf')
+    def end(self) -> None:
+        """Give no more orders."""
+        for task in self._tasks:
+            task.cancel()
 
     async def run(self) -> None:
-        """Compete and work until cancelled."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._keep_lease)
-            group.start_soon(self._work_on)
-
-    async def drain(self) -> None:
-        """Give the lease back, so that another host takes it at once."""
-        self._is_stopping = True
-        was_holder = self._is_holder
-        self._is_holder = False
-        if was_holder:
-            emit_event(HOLDER_ENDS, fence=self.fence, reason='stopping')
-            for task in self._tasks:
-                task.cancel()
-            await self._parts.lease.release()
-            self._parts.resign()
+        """Plan until cancelled."""
+        while True:
+            if self.is_holder:
+                self._plan()
+                self._work.clear()
+                with anyio.move_on_after(_TICK_S):
+                    await self._work.wait()
+            else:
+                await self._clock.sleep(_TICK_S)
 
     def list_rows(self) -> list[EngineRow]:
-        """Return what the engines hold, for the other hosts."""
+        """Return what the engines hold, for the other hosts.
+
+        An engine that was not asked yet is left out.
+        """
         return [
             EngineRow(
                 record.target.instance,
@@ -140,8 +100,10 @@
                     model: sorted(adapters)
                     for model, adapters in record.holdings.models.items()
                 },
+                record.idle_s(),
             )
             for record in self._records
+            if not record.needs_report or record.holdings.order_count
         ]
 
     def list_expected(self) -> list[ExpectedRow]:
@@ -157,67 +119,14 @@
             if record.loading is not None
         ]
 
-    async def _keep_lease(self) -> None:
-        """Acquire and renew apart from planning, as the store may be slow."""
-        while not self._is_stopping:
-            if self._may_compete():
-                await self._attempt()
-            if self._is_holder and not self._parts.lease.is_held():
-                self._end_tenure()
-            await self._clock.sleep(_TICK_S * (1 + self._parts.jitter()))
-
-    async def _work_on(self) -> None:
-        while True:
-            if self.is_holder:
-                self._plan()
-                self._work.clear()
-                with anyio.move_on_after(_TICK_S):
-                    await self._work.wait()
-            else:
-                await self._clock.sleep(_TICK_S)
-
-    def _may_compete(self) -> bool:
-        now = self._clock.monotonic()
-        if self._is_holder:
-            return now >= self._renew_at
-        return now - self.heard_at > self._rules.silence_s
-
-    async def _attempt(self) -> None:
-        lease = self._parts.lease
-        try:
-            is_held = await lease.attempt()
-        except StoreError:
-            # The lease lapses by the clock; the guard logs the outage.
-            is_held = lease.is_held()
-        now = self._clock.monotonic()
-        self._renew_at = now + self._rules.lease_s / _RENEWALS_PER_LEASE
-        if is_held and not self._is_holder:
-            self._begin_tenure()
-
-    def _begin_tenure(self) -> None:
-        self._is_holder = True
-        self._fence = self._parts.lease.fence
-        quiet_s = self._rules.quiet_s if self.fence > 1 else 0
-        self._orders_from = self._clock.monotonic() + quiet_s
-        self._records.clear()
-        emit_event(HOLDER_BEGINS, fence=self.fence, quiet_s=quiet_s)
-        self._parts.announce()
-
-    def _end_tenure(self) -> None:
-        self._is_holder = False
-        self._records.clear()
-        emit_event(HOLDER_ENDS, fence=self.fence, reason='lease lapsed')
-
     def _plan(self) -> None:
         now = self._clock.monotonic()
         self._records.follow(self._list_engines())
-        may_order = now >= self._orders_from and self._has_time()
-        for record in list(self._records):
-            self._check_late(record, now)
-            if may_order and record.is_report_due(now):
+        for record in self._records:
+            record.check_late(now, _LATE_S)
+            is_open = self._parts.tenure.may_order(record.target.instance)
+            if is_open and record.is_report_due(now):
                 self._start(record, self._read_report(record))
-        if not may_order:
-            return
         for service, engine in self._list_services():
             for step in plan_steps(self._describe(service, engine)):
                 self._begin_step(step)
@@ -228,7 +137,8 @@
             for each in self._records
             if each.target.instance == step.engine
         )
-        if record.is_busy:
+        is_open = self._parts.tenure.may_order(step.engine)
+        if record.is_busy or not is_open:
             return
         if step.is_store_load:
             self._parts.budget.record()
@@ -249,8 +159,8 @@
             is_accepted = await self._parts.giver.give(
                 record,
                 step,
-                self._parts.lease.holder,
-                self.fence,
+                self._parts.tenure.holder,
+                self._parts.tenure.fence,
             )
             if is_accepted and step.adapter and step.is_load:
                 await self._clock.sleep(ADAPTER_READY_S)
@@ -273,15 +183,6 @@
         self._parts.announce()
         self.wake()
 
-    def _check_late(self, record: EngineRecord, now: float) -> None:
-        if record.settling and now > record.ready_at + _LATE_LOAD_S:
-            record.ready_at = now
-            record.needs_report = True
-
-    def _has_time(self) -> bool:
-        lease = self._parts.lease
-        return lease.seconds_left() > _STOP_EARLY_S
-
     def _list_engines(self) -> list[Target]:
         services = dict(self._list_services())
         entries = [
--- a/cassiarail/edge/hosts.py
+++ b/cassiarail/edge/hosts.py
@@ -22,7 +22,7 @@
 
 HOST_KIND = 'cassiarail-hosts'
 _CHECK_S = 0.2
-_RETRY = Backoff(base_s=0.2, cap_s=2.0)
+_RETRY = Backoff()
 
 
 class HostList(Follower):
@@ -50,8 +50,8 @@
     def _take(self, entry: StoredObject) -> None:
         document = entry.document
         try:
-            address = Address.parse(document['address'])
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            address = Address.parse(str(document['address']))
+        except (KeyError, TypeError, ValueError) as error:
             emit_event(
                 HOST_ENTRY_UNREADABLE,
                 host=entry.name,
@@ -77,7 +77,8 @@
         """Follow the other hosts while ``is_needed``."""
         self.hosts = HostList()
         self._store = store
-        self._name, self._document = entry
+        self._name = entry[0]
+        self._document = entry[1]
         self._is_needed = is_needed
         self._clock = clock
         self._generator = generator
--- a/cassiarail/edge/jobs.py
+++ b/cassiarail/edge/jobs.py
@@ -2,6 +2,7 @@
 
 import enum
 import hashlib
+from collections.abc import Callable
 from typing import NamedTuple
 
 from cassiarail.core.verdict import Verdict, combine_verdicts
@@ -55,10 +56,15 @@
 }
 
 
+def _never() -> bool:
+    return False
+
+
 class Job:
     """Hold what is known of one request while it is handled.
 
-    Times are those of the event loop, in seconds.
+    Times are those of the event loop, in seconds. ``may_switch`` tells
+    whether another target could take a request over that stands still.
     """
 
     def __init__(
@@ -81,20 +87,23 @@
         self.splitter = EventSplitter() if route.can_resume else None
         self.has_begun = False
         self.tried: list[Target] = []
-        self.results: list[AttemptResult] = []
+        self.attempts: list[AttemptResult] = []
         self.in_flight = False
+        self.may_switch: Callable[[], bool] = _never
 
     @property
     def verdict(self) -> Verdict:
         """Tell whether the request may have run so far."""
         if self.in_flight:
             return Verdict.MAY_HAVE_RUN
-        return combine_verdicts(each.verdict for each in self.results)
+        return combine_verdicts(each.verdict for each in self.attempts)
 
     @property
     def runs(self) -> int:
         """Return the attempts that may have run."""
-        return sum(each.outcome is not Outcome.NOT_RUN for each in self.results)
+        return sum(
+            each.outcome is not Outcome.NOT_RUN for each in self.attempts
+        )
 
     @property
     def patience_s(self) -> float:
--- a/cassiarail/edge/messages.py
+++ b/cassiarail/edge/messages.py
@@ -38,12 +38,16 @@
 
 
 class EngineRow(msgspec.Struct, array_like=True):
-    """Tell what an engine holds after an order."""
+    """Tell what an engine holds after an order.
+
+    ``idle_s`` tells how long ago the holder sent its last order there.
+    """
 
     instance: str
     born_ms: int
     order_count: int
     models: dict[str, list[str]]
+    idle_s: float
 
 
 class ExpectedRow(msgspec.Struct, array_like=True):
--- a/cassiarail/edge/orders.py
+++ b/cassiarail/edge/orders.py
@@ -71,6 +71,7 @@
             holder,
             fence,
         )
+        record.ordered_at = self._clock.monotonic()
         try:
             reply = await call_server(
                 self._pool,
--- a/cassiarail/edge/presence.py
+++ b/cassiarail/edge/presence.py
@@ -19,6 +19,7 @@
 from cassiarail.edge.peers import PeerLink
 from cassiarail.edge.suspects import CrashSuspects
 from cassiarail.edge.targets import Holdings, TargetDirectory
+from cassiarail.edge.tenure import Tenure
 from cassiarail.edge.waiting import PlacementWaits
 from cassiarail.http1.pool import Address
 
@@ -33,6 +34,14 @@
 _HOLDER_SILENT_S = 2.0
 
 
+class _Sent(NamedTuple):
+    """Hold what was sent of an engine."""
+
+    born_ms: int
+    order_count: int
+    models: dict[str, list[str]]
+
+
 class PresenceParts(NamedTuple):
     """Hold what a host reports from and to."""
 
@@ -58,6 +67,7 @@
     ) -> None:
         self.host_count = 0
         self.holder: OrderHolder | None = None
+        self.tenure: Tenure | None = None
         self._host = host
         self._parts = parts
         self._clock = clock
@@ -67,7 +77,7 @@
         self._holder_fence = 0
         self._expected: dict[tuple[str, str], float] = {}
         self._is_urgent = False
-        self._sent_rows: dict[str, EngineRow] = {}
+        self._sent_rows: dict[str, _Sent] = {}
 
     async def start(self) -> None:
         """Bind the address of peers."""
@@ -102,9 +112,14 @@
             self._link.send(digest, self._holder_address)
 
     def resign(self) -> None:
-        """Tell the hosts that the lease was given back."""
-        if self.holder is not None:
-            self._broadcast(self._make_ledger([], is_last=True))
+        """Tell the hosts that this one gives no more orders."""
+        if self.holder is None or self.tenure is None:
+            return
+        rows = self.holder.list_rows()
+        ledger = self._make_ledger(rows, is_last=True)
+        self._broadcast(ledger)
+        # Datagrams may be lost; a second copy makes that rare.
+        self._broadcast(ledger)
 
     def seconds_until(self, service: str, model: str) -> float | None:
         """Return when a model that is being loaded will be ready."""
@@ -139,11 +154,14 @@
             return
         self._holder_fence = ledger.fence
         self.host_count = max(self.host_count, ledger.hosts)
-        if self.holder is not None:
+        if self.tenure is not None:
             if ledger.is_last:
-                self.holder.hear_resignation()
+                self.tenure.hear_resignation(
+                    ledger.fence,
+                    {row.instance: row.idle_s for row in ledger.engines},
+                )
             else:
-                self.holder.hear_holder()
+                self.tenure.hear_holder()
         self._holder_address = sender
         now = self._clock.monotonic()
         self._holder_heard_at = now
@@ -172,9 +190,13 @@
         rows = self.holder.list_rows()
         if not is_whole:
             rows = [
-                row for row in rows if self._sent_rows.get(row.instance) != row
+                row
+                for row in rows
+                if self._sent_rows.get(row.instance) != _drop_age(row)
             ]
-        self._sent_rows.update({row.instance: row for row in rows})
+        self._sent_rows.update(
+            {row.instance: _drop_age(row) for row in rows},
+        )
         self._note_expected()
         for begin in range(0, max(1, len(rows)), _MAX_ROWS):
             part = rows[begin : begin + _MAX_ROWS]
@@ -201,7 +223,7 @@
         self.host_count = max(self.host_count, len(hosts))
         return Ledger(
             self._host,
-            holder.fence if holder else 0,
+            self.tenure.fence if self.tenure else 0,
             len(hosts),
             rows,
             holder.list_expected() if holder else [],
@@ -227,3 +249,7 @@
         {model: frozenset(names) for model, names in row.models.items()},
         order_count=row.order_count,
     )
+
+
+def _drop_age(row: EngineRow) -> _Sent:
+    return _Sent(row.born_ms, row.order_count, row.models)
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -18,19 +18,16 @@
 from cassiarail.edge.following import ConfigurationFollower, TargetFollower
 from cassiarail.edge.forwarding import Forwarder, ForwardingParts
 from cassiarail.edge.front import CallerFront, DrainRules
-from cassiarail.edge.holder import HolderParts, HolderRules, OrderHolder
+from cassiarail.edge.holder import HolderParts, OrderHolder
 from cassiarail.edge.hosts import HostRegistry
 from cassiarail.edge.metrics import EdgeMetrics
 from cassiarail.edge.orders import LoadBudget, OrderGiver
 from cassiarail.edge.presence import Presence, PresenceParts
 from cassiarail.edge.selection import TargetSelector
-from cassiarail.edge.status import (
-    StatusListener,
-    answer_metrics,
-    answer_readiness,
-)
+from cassiarail.edge.status import MetricsListener, ReadinessListener
 from cassiarail.edge.suspects import CrashSuspects
 from cassiarail.edge.targets import TargetDirectory
+from cassiarail.edge.tenure import Tenure, TenureRules
 from cassiarail.edge.upkeep import SettingsWatch, Upkeep
 from cassiarail.edge.waiting import PlacementWaits
 from cassiarail.edge.watches import Watches
@@ -41,15 +38,14 @@
 from cassiarail.routing.outliers import OutlierDetector, OutlierRules
 from cassiarail.store.backends.base import ObjectStore
 from cassiarail.store.guard import Checkable
-from cassiarail.store.leases import Lease
+from cassiarail.store.leases import ORDERS_LEASE, Lease
 from cassiarail.store.writes import ConditionalWriter
 from cassiarail.telemetry.lines import LineWriter
 
 _CONNECT_TIMEOUT_S = 0.5
-_ORDERS_LEASE = 'orders'
 # Spent on the way of an order and on clocks that run at different rates.
 _QUIET_MARGIN_S = 0.3
-_LEASE_S = 3.0
+_LEASE_S = 2.4
 # A write of the lease is given up well before the lease lapses.
 _WRITE_PATIENCE_S = 1.0
 # Requests that are still in progress at this share of the time to stop are
@@ -62,11 +58,11 @@
 # has to show a target that leaves well within the bound of 2 s.
 _HOLDER_PAUSE_S = 0.05
 _PAUSE_S = 0.9
-_EJECTION = OutlierRules(
-    consecutive_failures=3,
-    ejection_s=2.0,
-    max_ejected_share=0.5,
-)
+# Failures in a row that eject a target, and for how long. At most half of a
+# service's targets are ejected.
+_EJECTION_S = 2.0
+_EJECTED_SHARE = 0.5
+_EJECTION = OutlierRules(3, _EJECTION_S, _EJECTED_SHARE)
 
 
 class EdgeLinks(NamedTuple):
@@ -102,7 +98,7 @@
         self._build_forwarding()
         self.application = Application(
             'edge',
-            [*self._components(path)],
+            self._components(path),
             self._clock,
             self._generator,
         )
@@ -151,28 +147,34 @@
         )
         bounds = self._settings['bounds']
         self._order_pool = ConnectionPool(PoolRules(_CONNECT_TIMEOUT_S))
+        self._lease = Lease(
+            writer,
+            ORDERS_LEASE,
+            self._settings['name'],
+            clock,
+            self._generator,
+            _LEASE_S,
+        )
+        self._tenure = Tenure(
+            self._lease,
+            clock,
+            TenureRules(_LEASE_S, bounds['lease_s'] + _QUIET_MARGIN_S),
+            self._generator.random,
+            self._change_tenure,
+        )
         self._holder = OrderHolder(
             HolderParts(
-                Lease(
-                    writer,
-                    _ORDERS_LEASE,
-                    self._settings['name'],
-                    clock,
-                    self._generator,
-                    _LEASE_S,
-                ),
+                self._tenure,
                 OrderGiver(self._order_pool, self._links.dialect, clock),
                 self._directory,
                 self._in_force,
                 self._fleet_demand,
                 LoadBudget(clock, bounds['loads_window_s']),
                 self._presence.report_soon,
-                self._presence.resign,
-                self._generator.random,
             ),
             clock,
-            HolderRules(_LEASE_S, bounds['lease_s'] + _QUIET_MARGIN_S),
         )
+        self._presence.tenure = self._tenure
         self._presence.holder = self._holder
 
     def _build_forwarding(self) -> None:
@@ -245,6 +247,7 @@
             clock,
             self._generator,
             self._target_pause,
+            self._lease.observe,
         )
 
     def _components(self, path: pathlib.Path) -> list[Component]:
@@ -254,6 +257,7 @@
             self._watches,
             self._presence,
             self._hosts,
+            self._tenure,
             self._holder,
             Upkeep(
                 self._clock,
@@ -265,17 +269,16 @@
                 self._thaw,
             ),
             SettingsWatch(path, self._clock, self._apply),
-            StatusListener(
-                'metrics',
+            MetricsListener(
                 Address.parse(metrics['address']),
                 metrics['path'],
-                answer_metrics(self._registry, self._refresh_metrics),
+                self._registry,
+                self._refresh_metrics,
             ),
-            StatusListener(
-                'readiness',
+            ReadinessListener(
                 Address.parse(readiness['address']),
                 readiness['path'],
-                answer_readiness(self.is_ready),
+                self.is_ready,
             ),
             self._front,
         ]
@@ -295,6 +298,14 @@
             each.instance for each in self._directory.of_service(target.service)
         ]
 
+    def _change_tenure(self, has_begun: bool) -> None:
+        if has_begun:
+            self._holder.begin()
+            self._presence.report(is_whole=True)
+        else:
+            self._holder.end()
+            self._presence.resign()
+
     def _target_pause(self) -> float:
         if self._holder.is_holder:
             return _HOLDER_PAUSE_S
--- a/cassiarail/edge/selection.py
+++ b/cassiarail/edge/selection.py
@@ -13,6 +13,9 @@
 _ABSENT_S = 1.0
 
 
+_AbsenceKey = tuple[tuple[str, int], Want]
+
+
 class _Absence(NamedTuple):
     """Hold when a target said that it lacks something."""
 
@@ -34,7 +37,7 @@
         self._choice = choice
         self._outliers = outliers
         self._data_centre = data_centre
-        self._absent: dict[tuple[tuple[str, int], Want], _Absence] = {}
+        self._absent: dict[_AbsenceKey, _Absence] = {}
 
     def choose(self, job: Job) -> Target | None:
         """Return the best target that was not tried, or ``None``."""
--- a/cassiarail/edge/status.py
+++ b/cassiarail/edge/status.py
@@ -1,5 +1,6 @@
 """Answer whether this host is ready, and serve its metrics."""
 
+import abc
 import http
 from collections.abc import Callable
 
@@ -13,19 +14,12 @@
 
 
 class StatusListener(Component):
-    """Serve one path for questions of the platform."""
+    """Answer questions of the platform on one path."""
 
-    def __init__(
-        self,
-        name: str,
-        address: Address,
-        path: str,
-        answer: Callable[[Exchange], None],
-    ) -> None:
+    def __init__(self, name: str, address: Address, path: str) -> None:
         self.name = name
         self._path = path.encode()
-        self._answer = answer
-        self._listener = Http1Listener(address, self._handle)
+        self._listener = Http1Listener(address, self._respond)
 
     async def start(self) -> None:
         """Begin to listen."""
@@ -38,43 +32,58 @@
         """Close all connections."""
         self._listener.stop()
 
-    async def _handle(self, exchange: Exchange) -> None:
+    @abc.abstractmethod
+    def answer(self, exchange: Exchange) -> None:
+        """Answer a question on the path."""
+
+    async def _respond(self, exchange: Exchange) -> None:
         if exchange.head.target.partition(b'?')[0] == self._path:
-            self._answer(exchange)
+            self.answer(exchange)
         else:
             exchange.answer(http.HTTPStatus.NOT_FOUND, [], b'')
 
 
-def answer_readiness(
-    is_ready: Callable[[], bool],
-) -> Callable[
-    [Exchange],
-    None,
-]:
-    """Return the answer to the question whether this host is ready."""
+class ReadinessListener(StatusListener):
+    """Tell whether this host takes callers' connections."""
 
-    def answer(exchange: Exchange) -> None:
-        if is_ready():
+    def __init__(
+        self,
+        address: Address,
+        path: str,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        super().__init__('readiness', address, path)
+        self._is_ready = is_ready
+
+    def answer(self, exchange: Exchange) -> None:
+        """Answer 200 or 503."""
+        if self._is_ready():
             exchange.answer(http.HTTPStatus.OK, [], b'ready')
         else:
             status = http.HTTPStatus.SERVICE_UNAVAILABLE
             exchange.answer(status, [], b'not ready')
 
-    return answer
-
 
-def answer_metrics(
-    registry: CollectorRegistry,
-    refresh: Callable[[], None],
-) -> Callable[[Exchange], None]:
-    """Return the answer to the question for metrics."""
+class MetricsListener(StatusListener):
+    """Serve the metrics of a registry as text."""
 
-    def answer(exchange: Exchange) -> None:
-        refresh()
+    def __init__(
+        self,
+        address: Address,
+        path: str,
+        registry: CollectorRegistry,
+        refresh: Callable[[], None],
+    ) -> None:
+        """Call ``refresh`` before each answer."""
+        super().__init__('metrics', address, path)
+        self._registry = registry
+        self._refresh = refresh
+
+    def answer(self, exchange: Exchange) -> None:
+        """Answer with all metrics."""
+        self._refresh()
         exchange.answer(
             http.HTTPStatus.OK,
             [(b'content-type', CONTENT_TYPE.encode())],
-            render_metrics(registry),
+            render_metrics(self._registry),
         )
-
-    return answer
--- a/cassiarail/edge/waiting.py
+++ b/cassiarail/edge/waiting.py
@@ -30,11 +30,17 @@
             collections.Counter()
         )
         self._changed = asyncio.Event()
+        self._is_closed = False
 
     def __iter__(self) -> Iterator[WaitingWant]:
         for (service, want), count in self._waiting.items():
             yield WaitingWant(service, want, count)
 
+    def close(self) -> None:
+        """Let no request wait any longer; this host is stopping."""
+        self._is_closed = True
+        self.wake()
+
     def wake(self) -> None:
         """Let all waiting requests look at the targets again."""
         self._changed.set()
@@ -54,7 +60,7 @@
             self._on_want()
         try:
             async with asyncio.timeout(timeout_s):
-                while not is_there():
+                while not (self._is_closed or is_there()):
                     await self._changed.wait()
         except TimeoutError:
             return False
@@ -62,4 +68,4 @@
             self._waiting[key] -= 1
             if not self._waiting[key]:
                 self._waiting.pop(key)
-        return True
+        return not self._is_closed or is_there()
--- a/cassiarail/edge/watches.py
+++ b/cassiarail/edge/watches.py
@@ -28,6 +28,7 @@
         clock: Clock,
         generator: random.Random,
         target_pause_s: Callable[[], float],
+        observe_lease: Callable[[int], None],
     ) -> None:
         self._checkable = checkable
         self._targets = KindWatcher(
@@ -50,6 +51,7 @@
             (self._targets, self._configuration),
             clock,
             generator.random,
+            observe_lease,
         )
 
     @property
--- a/cassiarail/http1/connections.py
+++ b/cassiarail/http1/connections.py
@@ -167,12 +167,12 @@
                 raise self._fail(f'answer is not HTTP: {error}') from error
             if event is h11.NEED_DATA:
                 await self._wait_for_data()
-            elif isinstance(event, h11.ConnectionClosed):
+                continue
+            if isinstance(event, h11.ConnectionClosed):
                 raise self._fail(self._error or 'closed before the answer')
-            elif isinstance(event, h11.Event):
-                return event
-            else:
+            if not isinstance(event, h11.Event):
                 raise self._fail('bytes after the answer')
+            return event
 
     async def _wait_for_data(self) -> None:
         self._unread = 0
@@ -203,8 +203,9 @@
 
     async def read_piece_end(self) -> None:
         """Read a body to its end and drop it."""
-        while await self.read_piece() is not None:
-            continue
+        piece: bytes | None = b''
+        while piece is not None:
+            piece = await self.read_piece()
 
     def _fail(self, reason: str) -> ConnectionLostError:
         self.abort(reason)
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -12,7 +12,7 @@
 from cassiarail.http1.pool import Address
 from cassiarail.http1.sockets import watch_for_silence
 
-Handler = Callable[[Exchange], Awaitable[None]]
+OnExchange = Callable[[Exchange], Awaitable[None]]
 _HEAD = b'HEAD'
 # Bytes of later requests that are read ahead while one is being answered.
 _MAX_AHEAD_BYTES = 65_536
@@ -169,7 +169,8 @@
                 bytes(event.target),
                 list(event.headers),
             )
-            self._pieces, self._size = [], 0
+            self._pieces = []
+            self._size = 0
         elif isinstance(event, h11.Data):
             self._size += len(event.data)
             self._pieces.append(bytes(event.data))
@@ -189,7 +190,7 @@
         self._cancel_timer()
         self._is_reading = False
         self.is_answering = True
-        self._task = self._loop.create_task(self._listener.handle(self))
+        self._task = self._loop.create_task(self._listener.answer(self))
 
     def _send_continue(self) -> None:
         if self._parser.they_are_waiting_for_100_continue:
@@ -295,7 +296,7 @@
     def __init__(
         self,
         address: Address,
-        handler: Handler,
+        on_exchange: OnExchange,
         limits: Callable[[], ClientLimits] = ClientLimits,
         count_unread: Callable[[int, str], None] | None = None,
     ) -> None:
@@ -303,7 +304,7 @@
         self.limits = limits
         self.is_draining = False
         self._address = address
-        self._handler = handler
+        self._on_exchange = on_exchange
         self._count_unread = count_unread
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -340,9 +341,9 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
-    async def handle(self, exchange: Exchange) -> None:
+    async def answer(self, exchange: Exchange) -> None:
         """Answer one request."""
-        await self._handler(exchange)
+        await self._on_exchange(exchange)
 
     def count_unread(self, status: int, reason: str) -> None:
         """Report a request that could not be read."""
--- a/cassiarail/placement/ondemand.py
+++ b/cassiarail/placement/ondemand.py
@@ -171,10 +171,10 @@
         """Finish swaps, bring missing models, then copies of busy ones."""
         used = set(taken)
         for engine in self._fleet.engines:
-            if engine.intended and not engine.is_busy:
-                if engine.name not in used:
-                    used.add(engine.name)
-                    yield from self._finish_swap(engine)
+            is_open = engine.name not in used and not engine.is_busy
+            if engine.intended and is_open:
+                used.add(engine.name)
+                yield from self._finish_swap(engine)
         for name in self._by_urgency():
             if not self._lacks_copies(name):
                 continue
@@ -233,22 +233,21 @@
 
     def _by_urgency(self) -> list[str]:
         known = self._fleet.models
-
-        def urgency(name: str) -> tuple[bool, float, float]:
-            demand = self._demand(name)
-            missing = not self._copies.get(name)
-            return (
-                not (missing and demand.waiting),
-                not missing,
-                -(demand.waiting + demand.asked_per_s),
-            )
-
         asked = [
             name
             for name, demand in self._fleet.demand.items()
             if name in known and (demand.waiting or demand.asked_per_s)
         ]
-        return sorted(asked, key=urgency)
+        return sorted(asked, key=self._urgency)
+
+    def _urgency(self, name: str) -> tuple[bool, bool, float]:
+        demand = self._demand(name)
+        is_missing = not self._copies.get(name)
+        return (
+            not (is_missing and demand.waiting),
+            not is_missing,
+            -(demand.waiting + demand.asked_per_s),
+        )
 
     def _demand(self, name: str) -> ModelDemand:
         return self._fleet.demand.get(name, _NO_DEMAND)
@@ -447,23 +446,28 @@
 
 
 def _evict_adapter(homes: list[EngineState]) -> Step | None:
-    idle = [
-        (
-            engine.adapter_idle_s.get((model, adapter), _LONG_IDLE_S),
-            engine.name,
-            model,
-            adapter,
-        )
-        for engine in homes
-        for model, adapters in engine.held.items()
-        for adapter in adapters
-    ]
-    if not idle:
-        return None
-    age, engine_name, model, adapter = max(idle)
-    if age < _ADAPTER_STAY_S:
+    longest: tuple[float, Step] | None = None
+    for engine in homes:
+        for model, adapter in _list_adapters(engine):
+            key = (model, adapter)
+            idle_s = engine.adapter_idle_s.get(key, _LONG_IDLE_S)
+            if longest is None or idle_s > longest[0]:
+                step = Step(
+                    engine.name,
+                    is_load=False,
+                    model=model,
+                    adapter=adapter,
+                )
+                longest = (idle_s, step)
+    if longest is None or longest[0] < _ADAPTER_STAY_S:
         return None
-    return Step(engine_name, is_load=False, model=model, adapter=adapter)
+    return longest[1]
+
+
+def _list_adapters(engine: EngineState) -> Iterator[tuple[str, str]]:
+    for model, adapters in engine.held.items():
+        for adapter in adapters:
+            yield model, adapter
 
 
 _LONG_IDLE_S = 1_000_000.0
--- a/cassiarail/platform/store.py
+++ b/cassiarail/platform/store.py
@@ -26,12 +26,11 @@
     WatchBatch,
 )
 from cassiarail.store.guard import Checkable
+from cassiarail.store.leases import LEASE_KIND, ORDERS_LEASE
 
 _TIMEOUT_S = 1.5
 _CONNECT_TIMEOUT_S = 0.7
 _CHECK_TIMEOUT_S = 0.8
-_CHECKED_KIND = 'lease'
-_CHECKED_NAME = 'orders'
 _WATCH_MARGIN_S = 2.0
 _MS = 1000
 _OK = 200
@@ -41,7 +40,7 @@
 # Both say that nothing was done.
 _REFUSED = frozenset((429, 503))
 # A stale read costs a tenth and doesn't count towards the rate.
-_STALE = {'allow_stale': '1'}
+_STALE = 'allow_stale=1'
 
 
 class PlatformStore(ObjectStore, Checkable):
@@ -59,17 +58,17 @@
             return None
         return _read_object(kind, _decode(reply))
 
-    async def check(self) -> None:
-        """Read cheaply, perhaps seconds old, to see that calls succeed.
-
-        The object need not exist.
-        """
-        path = _path(_CHECKED_KIND, _CHECKED_NAME)
-        await self._call(
+    async def check(self) -> int | None:
+        """Read the lease cheaply, perhaps seconds old."""
+        path = _path(LEASE_KIND, ORDERS_LEASE)
+        reply = await self._call(
             'GET',
-            f'{path}?{urlencode(_STALE)}',
+            f'{path}?{_STALE}',
             wait_s=_CHECK_TIMEOUT_S,
         )
+        if reply.status == _NOT_FOUND:
+            return None
+        return _read_object(LEASE_KIND, _decode(reply)).version
 
     async def list_objects(self, kind: str, prefix: str = '') -> Listing:
         """Return all objects of a kind, page by page."""
@@ -77,11 +76,11 @@
         path = _path(kind)
         while True:
             page = _decode(await self._call('GET', path))
-            items = page['items']
-            found.extend(_read_object(kind, each) for each in items)
-            if not (page.get('has_more') and items):
+            entries = page['items']
+            found.extend(_read_object(kind, each) for each in entries)
+            if not (page.get('has_more') and entries):
                 break
-            after = urlencode({'after': items[-1]['meta']['name']})
+            after = urlencode({'after': entries[-1]['meta']['name']})
             path = f'{_path(kind)}?{after}'
         return Listing(
             int(page['current_rev']),
--- a/cassiarail/store/guard.py
+++ b/cassiarail/store/guard.py
@@ -18,8 +18,12 @@
     """Answer cheap reads that show whether the object API is reachable."""
 
     @abc.abstractmethod
-    async def check(self) -> None:
-        """Make one call; raise ``StoreError`` if it fails."""
+    async def check(self) -> int | None:
+        """Read the lease, perhaps an old version of it.
+
+        Returns the version, or ``None`` if it doesn't exist. Raises
+        ``StoreError`` if the call fails.
+        """
 
     @abc.abstractmethod
     def reconnect(self) -> None:
@@ -35,8 +39,13 @@
         watchers: Sequence[KindWatcher],
         clock: Clock,
         jitter: Callable[[], float],
+        observe: Callable[[int], None],
     ) -> None:
-        """``jitter`` returns a number from 0 to 1."""
+        """Hand versions of the lease to ``observe``.
+
+        ``jitter`` returns a number from 0 to 1.
+        """
+        self._observe = observe
         self.is_reachable = True
         self._store = store
         self._watchers = watchers
@@ -46,19 +55,21 @@
     async def run(self) -> None:
         """Check until cancelled."""
         while True:
-            spread = 0.75 + self._jitter() / 2
-            await self._clock.sleep(CHECK_INTERVAL_S * spread)
+            spread = 1 + self._jitter()
+            await self._clock.sleep(CHECK_INTERVAL_S * spread / 2)
             await self.check_once()
 
     async def check_once(self) -> None:
         """Make one check and act on a change."""
         try:
-            await self._store.check()
+            version = await self._store.check()
         except StoreError as error:
             if self.is_reachable:
                 emit_event(STORE_LOST, error=error.message)
             self.is_reachable = False
             return
+        if version is not None:
+            self._observe(version)
         if not self.is_reachable:
             self.is_reachable = True
             emit_event(STORE_REGAINED)
--- a/cassiarail/store/leases.py
+++ b/cassiarail/store/leases.py
@@ -19,6 +19,8 @@
 from cassiarail.store.writes import ConditionalWriter
 
 LEASE_KIND = 'lease'
+# The lease of the host that gives orders to engines.
+ORDERS_LEASE = 'orders'
 # Share by which two monotonic clocks may differ in rate.
 RATE_MARGIN = 0.1
 _NEVER = float('-inf')
@@ -65,6 +67,8 @@
         self._own: StoredObject | None = None
         self._other: _Observation | None = None
         self._valid_until = _NEVER
+        self._released_fence = 0
+        self.was_released = False
 
     @property
     def fence(self) -> int:
@@ -78,6 +82,24 @@
             and self._clock.monotonic() < self._valid_until
         )
 
+    def observe(self, version: int) -> None:
+        """Note a version of the lease that was read elsewhere.
+
+        The version may be old: a holder that renewed it since has written
+        another one, which the next attempt reads.
+        """
+        known = self._other.version if self._other else None
+        if self._own is None and known != version:
+            self._other = _Observation(version, self._clock.monotonic())
+
+    def accept_release(self, fence: int) -> None:
+        """Believe a holder that it has given up the lease of a fence."""
+        self._released_fence = fence
+
+    def abandon(self) -> None:
+        """Stop holding the lease without telling the object API."""
+        self._forget()
+
     def seconds_left(self) -> float:
         """Return how long the holder may still act."""
         if self._own is None:
@@ -122,10 +144,11 @@
         if document['holder'] == self.holder:
             await self._take(found, document['fence'])
         elif self._has_lapsed(found):
+            self.was_released = self._is_released(found)
             await self._take(found, document['fence'] + 1)
 
     def _has_lapsed(self, found: StoredObject) -> bool:
-        if not found.document['holder']:
+        if self._is_released(found):
             return True
         now = self._clock.monotonic()
         if self._other is None or self._other.version != found.version:
@@ -134,6 +157,12 @@
         wait_s = float(found.document['duration_s']) * (1 + RATE_MARGIN)
         return now - self._other.seen_at >= wait_s
 
+    def _is_released(self, found: StoredObject) -> bool:
+        document = found.document
+        if not document['holder']:
+            return True
+        return bool(document['fence'] == self._released_fence)
+
     async def _take(self, base: StoredObject | None, fence: int) -> None:
         asked_at = self._clock.monotonic()
         document = LeaseDocument(
--- a/cassiarail/store/watching.py
+++ b/cassiarail/store/watching.py
@@ -19,7 +19,8 @@
 
 # The longest wait that the object API takes; each wait is one priced call.
 WATCH_WAIT_S = 30.0
-_RETRY = Backoff(base_s=0.1, cap_s=0.8)
+_RETRY_CAP_S = 0.8
+_RETRY = Backoff(cap_s=_RETRY_CAP_S)
 
 
 class Follower(abc.ABC):
@@ -69,7 +70,8 @@
         """Follow until cancelled."""
         while True:
             try:
-                with anyio.CancelScope() as self._scope:
+                self._scope = anyio.CancelScope()
+                with self._scope:
                     await self._advance()
             except WatchExpiredError:
                 emit_event(WATCH_EXPIRED, kind=self.kind)
@@ -106,6 +108,8 @@
         if not self._failures:
             emit_event(WATCH_LOST, kind=self.kind, error=error.message)
         self._failures += 1
+        # A watch that was cut may have missed changes whose history is gone.
+        self._revision = None
         await self._clock.sleep(
             _RETRY.delay(self._failures, self._generator),
         )
--- a/cassiarail/telemetry/lines.py
+++ b/cassiarail/telemetry/lines.py
@@ -45,7 +45,7 @@
                 **fields,
             },
         )
-        self._queue(line + b'\n')
+        self._queue(b'%s\n' % line)
         self._schedule()
 
     def flush(self) -> None:
@@ -85,7 +85,8 @@
     def _report_dropped(self) -> None:
         room = MAX_BUFFERED_BYTES - self._size
         if self._unreported and room > MAX_BUFFERED_BYTES // 2:
-            count, self._unreported = self._unreported, 0
+            count = self._unreported
+            self._unreported = 0
             self._queue(
                 self._encoder.encode(
                     {'summary': 'log lines were dropped', 'lines': count},
