Wait for engines that have weights at hand; test the path to the byte

Cause: with an engine busy, a missing model was loaded elsewhere from the weight store for 4 s, and unloads of running models kept engines busy. Change: the plan counts runs as harm, waits for engines with the weights at hand and makes no further copies while a model is missing. Heads above the limit get 431 and bodies framed twice 400; requests sent ahead in one packet are all answered. Tests of http1 and of the forwarding path.

--- a/cassiarail/edge/engines.py
+++ b/cassiarail/edge/engines.py
@@ -141,6 +141,7 @@
             loading=self.loading.model if self.loading else '',
             intended=self.intended if now < self.intended_until else '',
             is_busy=self.is_busy,
+            free_in_s=max(0, self.ready_at - now) if self.settling else 0,
             in_memory=self.holdings.in_memory,
             on_disk=self.holdings.on_disk,
             loaded_s={
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -22,6 +22,10 @@
 _BACKLOG = 1024
 
 
+# A request with both is framed differently by different parsers.
+_AMBIGUOUS = frozenset((b'content-length', b'transfer-encoding'))
+
+
 class ClientLimits(NamedTuple):
     """Bound what clients may send and how long they may take."""
 
@@ -163,14 +167,7 @@
 
     def _take_event(self, event: object) -> None:
         if isinstance(event, h11.Request):
-            self.received_at = self._loop.time()
-            self.head = RequestHead(
-                bytes(event.method),
-                bytes(event.target),
-                list(event.headers),
-            )
-            self._pieces = []
-            self._size = 0
+            self._take_head(event)
         elif isinstance(event, h11.Data):
             self._size += len(event.data)
             self._pieces.append(bytes(event.data))
@@ -186,6 +183,26 @@
             self._pieces = []
             self._start()
 
+    def _take_head(self, event: h11.Request) -> None:
+        self.received_at = self._loop.time()
+        self.head = RequestHead(
+            bytes(event.method),
+            bytes(event.target),
+            list(event.headers),
+        )
+        self._pieces = []
+        self._size = 0
+        names = {name for name, _text in self.head.headers}
+        size = len(self.head.target) + sum(
+            len(name) + len(text) for name, text in self.head.headers
+        )
+        if size > self._limits.head_max_bytes:
+            status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            self._refuse(_Failure(status, 'head is too large'))
+        elif names >= _AMBIGUOUS:
+            status = http.HTTPStatus.BAD_REQUEST
+            self._refuse(_Failure(status, 'body is framed twice'))
+
     def _start(self) -> None:
         self._cancel_timer()
         self._is_reading = False
@@ -235,7 +252,7 @@
     def _begin_next(self) -> None:
         self._parser.start_next_cycle()
         self._limits = self._listener.limits()
-        if self._ahead and self._transport:
+        if self._parser.trailing_data[0] and self._transport:
             self._ahead = 0
             self._transport.resume_reading()
             self._is_reading = True
--- a/cassiarail/placement/ondemand.py
+++ b/cassiarail/placement/ondemand.py
@@ -20,6 +20,8 @@
 _PRIOR_FADES_S = 6.0
 # Evicting costs two orders, an engine that is busy and perhaps a reload.
 _MOVE_LOSS = 0.2
+# An unload waits for the runs of its model, while the engine takes no order.
+_DRAIN_S = 1.0
 # The harm of losing a redundant copy, as a share of the harm of the last.
 _REDUNDANT_SHARE = 0.3
 
@@ -54,7 +56,8 @@
     """Describe an engine that can be given an order.
 
     ``held`` maps models to their adapters. ``intended`` is the model for
-    which others were unloaded. ``loaded_s`` tells how long ago a
+    which others were unloaded. A busy engine takes the next order in about
+    ``free_in_s`` seconds. ``loaded_s`` tells how long ago a
     model was loaded, ``adapter_idle_s`` when an adapter was last asked for.
     """
 
@@ -66,6 +69,7 @@
     loading: str = ''
     intended: str = ''
     is_busy: bool = False
+    free_in_s: float = 0
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     loaded_s: Mapping[str, float] = {}
@@ -143,9 +147,14 @@
         self._fleet = fleet
         self._store_loads = fleet.store_loads
         self._copies: dict[str, int] = {}
+        self._has_missing = False
         for engine in fleet.engines:
             for model in _all_models(engine):
                 self._copies[model] = self._copies.get(model, 0) + 1
+        self._has_missing = any(
+            demand.waiting and not self._copies.get(model)
+            for model, demand in fleet.demand.items()
+        )
 
     def plan_adapters(self) -> Iterator[Step]:
         """Bring the adapters that requests wait for, then likely ones."""
@@ -178,6 +187,8 @@
         for name in self._by_urgency():
             if not self._lacks_copies(name):
                 continue
+            if self._copies.get(name) and self._has_missing:
+                break
             step = self._place_model(name, used)
             if step is not None:
                 used.add(step.engine)
@@ -260,7 +271,9 @@
         """Return how many copies carry the demand."""
         engines = self._fleet.engines
         slots = max((each.slots for each in engines), default=1)
-        return 1 + int(self._demand(name).in_flight / (_COPY_SHARE * slots))
+        demand = self._demand(name)
+        running = max(0, demand.in_flight - demand.waiting)
+        return 1 + int(running / (_COPY_SHARE * slots))
 
     def _place_model(self, name: str, used: set[str]) -> Step | None:
         model = self._fleet.models[name]
@@ -268,9 +281,7 @@
         ways = [
             way
             for engine in self._fleet.engines
-            if engine.name not in used
-            and not engine.is_busy
-            and name not in _all_models(engine)
+            if engine.name not in used and name not in _all_models(engine)
             for way in self._ways(model, engine, is_first=is_first)
         ]
         ways = [
@@ -281,6 +292,10 @@
         if not ways:
             return None
         best = min(ways, key=lambda way: way.cost)
+        if best.engine.is_busy:
+            # Waiting for that engine is quicker than loading elsewhere.
+            used.add(best.engine.name)
+            return None
         self._copies[name] = self._copies.get(name, 0) + 1
         if best.is_store_load:
             self._store_loads -= 1
@@ -331,7 +346,7 @@
             return
         yield _Swap(
             loss
-            + expected_s * (1 + demand.waiting)
+            + (engine.free_in_s + expected_s) * (1 + demand.waiting)
             + expected_s * self._adapter_traffic(engine),
             engine,
             victims,
@@ -387,7 +402,7 @@
         idle_s = min(demand.idle_s, self._fleet.known_s)
         rate += _PRIOR_PER_S * max(0, 1 - idle_s / _PRIOR_FADES_S)
         others = self._copies.get(name, 0) - 1
-        harm = (rate + demand.in_flight) * facts.disk_load_s
+        harm = rate * facts.disk_load_s + demand.in_flight * _DRAIN_S
         if others >= self._wanted(name):
             harm *= _REDUNDANT_SHARE / others
         elif others > 0:
--- /dev/null
+++ b/tests/edge/fleet.py
@@ -0,0 +1,199 @@
+"""Play one host's forwarding path against scripted engines."""
+
+import asyncio
+import random
+
+from prometheus_client import CollectorRegistry
+
+from cassiarail.core.clock import BootClock
+from cassiarail.edge.attempts import AttemptRunner
+from cassiarail.edge.configuration import (
+    Configuration,
+    ConfigurationInForce,
+    EngineType,
+    Model,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from cassiarail.edge.demand import DemandMeter
+from cassiarail.edge.forwarding import Forwarder, ForwardingParts
+from cassiarail.edge.metrics import EdgeMetrics
+from cassiarail.edge.selection import TargetSelector
+from cassiarail.edge.suspects import CrashSuspects
+from cassiarail.edge.targets import Holdings, Target, TargetDirectory
+from cassiarail.edge.waiting import PlacementWaits
+from cassiarail.http1.listener import ClientLimits, Http1Listener
+from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
+from cassiarail.limits.budgets import ServiceBudgets
+from cassiarail.limits.shared_budget import BudgetRules
+from cassiarail.platform.dialect import PlatformDialect
+from cassiarail.routing.earliest import EarliestChoice
+from cassiarail.routing.outliers import OutlierDetector
+
+HOST = 'h.example'
+MODEL = Model('m', 10, 2, 1, 4.0, 0.8, 0.5)
+ENGINE = EngineType(8, 1000, 30, 2, 2.0, {'m': MODEL, 'n': MODEL})
+
+
+def make_route(name, kind, **changes):
+    """Return a route whose path prefix is its name."""
+    route = Route(
+        name=name,
+        host=HOST,
+        path_prefix=f'/{name}/',
+        kind=kind,
+        timeout_s=10,
+        objective_s=0.5,
+        rank=1,
+        shares=(ServiceShare('s', 1),),
+        attempts=2,
+        can_resume=False,
+        pause_s=0.15,
+    )
+    return route._replace(**changes)
+
+
+ROUTES = (
+    make_route('read', RouteKind.IDEMPOTENT),
+    make_route('file', RouteKind.NON_IDEMPOTENT),
+    make_route('stream', RouteKind.STREAM, attempts=1),
+    make_route('resume', RouteKind.STREAM, can_resume=True),
+    make_route('brief', RouteKind.IDEMPOTENT, timeout_s=0.2, attempts=1),
+)
+CONFIGURATION = Configuration(
+    1,
+    ROUTES,
+    {'s': Service('s', 10, ENGINE)},
+    ClientLimits(),
+)
+
+
+class Fleet:
+    """Own a forwarder, its listener and the engines it knows."""
+
+    def __init__(self, configuration=CONFIGURATION, budget=None):
+        self.clock = BootClock()
+        self.directory = TargetDirectory(self.clock.monotonic)
+        self.in_force = ConfigurationInForce()
+        if configuration is not None:
+            self.in_force.offer(configuration)
+        choice = EarliestChoice(random.Random(1))
+        dialect = PlatformDialect()
+        self.outliers = OutlierDetector(
+            self.clock,
+            lambda _name: [each.instance for each in self.directory],
+            lambda _name: True,
+        )
+        self.waits = PlacementWaits(lambda: None)
+        self.suspects = CrashSuspects(self.clock)
+        budgets = ServiceBudgets(
+            self.clock,
+            budget or BudgetRules(0.2, 100, 10),
+            lambda: 1,
+        )
+        self.expected_s = 0.01
+        self.pool = ConnectionPool(PoolRules(connect_timeout_s=2))
+        self.forwarder = Forwarder(
+            ForwardingParts(
+                dialect,
+                self.in_force,
+                TargetSelector(self.directory, choice, self.outliers, 'dc'),
+                AttemptRunner(self.pool, dialect, choice),
+                self.outliers,
+                self.waits,
+                DemandMeter(self.clock),
+                self.suspects,
+                EdgeMetrics(CollectorRegistry()),
+                budgets.of_service,
+                lambda _service, _want: self.expected_s,
+            ),
+        )
+
+    async def __aenter__(self):
+        self.listener = Http1Listener(
+            Address('127.0.0.1', 0),
+            self.forwarder.answer,
+            self.in_force.limits,
+        )
+        await self.listener.start()
+        bound = self.listener._server.sockets[0].getsockname()
+        self.address = Address(*bound)
+        return self
+
+    async def __aexit__(self, *_error):
+        self.listener.stop()
+
+    def add(self, server, instance, models=('m',), **changes):
+        """Let the host know an engine."""
+        target = Target(
+            instance,
+            1,
+            's',
+            server.address,
+            'dc',
+            8,
+            holdings=Holdings({name: frozenset() for name in models}),
+        )
+        self.directory.put(target._replace(**changes))
+        self.waits.wake()
+
+    async def ask(self, route, headers='', body=b'', method='POST'):
+        """Send a request and return everything that comes back."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        writer.write(encode_request(route, headers, body, method))
+        try:
+            return await reader.read(-1)
+        except ConnectionError:
+            return b'(reset)'
+        finally:
+            writer.close()
+
+
+def encode_request(route, headers='', body=b'', method='POST'):
+    """Return the bytes of a request on a route."""
+    return (
+        f'{method} /{route}/x?q=1 HTTP/1.1\r\nHost: {HOST}\r\n'
+        'X-Cassiarail-Request-Id: r1\r\nConnection: close\r\n'
+        f'X-Cassiarail-Deadline-Ms: 8000\r\n{headers}'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    ).encode() + body
+
+
+def answer(body=b'ok', status='200 OK', headers='', request_id='r1'):
+    """Return a signed answer of an engine."""
+    return (
+        f'HTTP/1.1 {status}\r\nX-Cassiarail-Request-Id: {request_id}\r\n'
+        f'X-Cassiarail-Server-Stamp: stamp\r\n{headers}'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    ).encode() + body
+
+
+NOT_RUN = (
+    b'HTTP/1.1 503 Busy\r\nX-Cassiarail-Not-Run: 1\r\n'
+    b'X-Cassiarail-Request-Id: r1\r\nContent-Length: 0\r\n\r\n'
+)
+
+
+def serve(*answers):
+    """Return a script that answers each request, or resets for ``None``."""
+    left = list(answers)
+
+    async def script(server, reader, writer):
+        while True:
+            await server.read_request(reader)
+            reply = left.pop(0) if left else answer()
+            if reply is None:
+                writer.transport.abort()
+                return
+            writer.write(reply)
+            await writer.drain()
+
+    return script
+
+
+def serve_in_turn(*answers):
+    """Return scripts of two engines that share one list of answers."""
+    script = serve(*answers)
+    return [script, script]
--- /dev/null
+++ b/tests/http1/test_listener.py
@@ -0,0 +1,213 @@
+"""Guard what a server takes from clients and how connections end."""
+
+import asyncio
+
+import pytest
+
+from cassiarail.http1.listener import ClientLimits, Http1Listener
+from cassiarail.http1.pool import Address
+from tests.http1.wire import play, talk
+
+LIMITS = ClientLimits(
+    head_max_bytes=2000,
+    body_max_bytes=1000,
+    read_timeout_s=0.2,
+    idle_s=0.2,
+)
+
+
+class Host:
+    """Run a listener whose answers tell what it read."""
+
+    def __init__(self, limits=LIMITS, handler=None):
+        self.seen = []
+        self.unread = []
+        self.cancelled = asyncio.Event()
+        self._limits = limits
+        self._handler = handler or self.echo
+
+    async def __aenter__(self):
+        self.listener = Http1Listener(
+            Address('127.0.0.1', 0),
+            self._handler,
+            lambda: self._limits,
+            lambda status, _reason: self.unread.append(status),
+        )
+        await self.listener.start()
+        bound = self.listener._server.sockets[0].getsockname()
+        self.address = Address(*bound)
+        return self
+
+    async def __aexit__(self, *_error):
+        self.listener.stop()
+
+    async def echo(self, exchange):
+        self.seen.append((exchange.head.target, exchange.body))
+        exchange.answer(200, [], b'<%s>' % exchange.body)
+
+    async def wait(self, _exchange):
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.cancelled.set()
+
+
+def get(target=b'/a', headers=b''):
+    return b'GET %s HTTP/1.1\r\nHost: h\r\n%s\r\n' % (target, headers)
+
+
+CLOSE = b'Connection: close\r\n'
+
+
+def test_requests_sent_ahead_are_answered_in_order():
+    async def main():
+        async with Host() as host:
+            sent = get(b'/1') + get(b'/2') + get(b'/3', CLOSE)
+            received = await talk(host.address, sent, until_close=True)
+            assert received.count(b'200 OK') == 3
+            assert [target for target, _ in host.seen] == [b'/1', b'/2', b'/3']
+
+    play(main)
+
+
+def test_a_chunked_body_is_read_whole():
+    sent = (
+        b'POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n'
+        + CLOSE
+        + b'\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+    )
+
+    async def main():
+        async with Host() as host:
+            await talk(host.address, sent, until_close=True)
+            assert host.seen == [(b'/p', b'abcde')]
+
+    play(main)
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        b'POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /evil HTTP/1.1\r\n',
+        b'POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+        b'Content-Length: 5\r\n\r\nabcde',
+        b'POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc',
+        b'GET /a HTTP/1.1\r\nHost : h\r\n\r\n',
+        b'GET /a\r\n\r\n',
+    ],
+)
+def test_an_ambiguous_request_is_refused_and_the_connection_closed(sent):
+    # A body that two parsers frame differently smuggles a request (UNASKED).
+    async def main():
+        async with Host() as host:
+            received = await talk(host.address, sent, until_close=True)
+            assert received.startswith((b'HTTP/1.1 400', b'HTTP/1.1 501'))
+            assert b'/evil' not in b''.join(target for target, _ in host.seen)
+
+    play(main)
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (get(headers=b'X: %s\r\n' % (b'y' * 3000)), 431),
+        (
+            b'POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n'
+            + b'x' * 2000,
+            413,
+        ),
+        (b'GET /slow HTT', 408),
+        (
+            b'POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc',
+            408,
+        ),
+    ],
+)
+def test_what_exceeds_a_limit_gets_its_status(sent, status):
+    async def main():
+        async with Host() as host:
+            received = await talk(host.address, sent, until_close=True)
+            assert received.startswith(b'HTTP/1.1 %d' % status)
+            assert host.unread == [status]
+            assert not host.seen
+
+    play(main)
+
+
+def test_an_idle_connection_is_closed_without_an_answer():
+    async def main():
+        async with Host() as host:
+            received = await talk(host.address, get(), until_close=True)
+            assert received.count(b'HTTP/1.1') == 1
+
+    play(main)
+
+
+def test_a_client_that_leaves_cancels_its_request():
+    # Otherwise a target works for nobody (GONE).
+    async def main():
+        host = Host()
+        host._handler = host.wait
+        async with host:
+            _reader, writer = await asyncio.open_connection(*host.address)
+            writer.write(get())
+            await writer.drain()
+            while not host.listener.in_progress:
+                await asyncio.sleep(0)
+            writer.close()
+            await host.cancelled.wait()
+
+    play(main)
+
+
+def test_a_stopping_listener_announces_the_close():
+    async def main():
+        async with Host() as host:
+            host.listener.is_draining = True
+            received = await talk(host.address, get(), until_close=True)
+            assert b'connection: close' in received.lower()
+
+    play(main)
+
+
+def test_a_stream_that_breaks_off_has_no_last_chunk():
+    async def begin(exchange):
+        exchange.begin_stream(200, [])
+        await exchange.send_piece(b'part')
+        exchange.break_off()
+
+    async def main():
+        host = Host(handler=begin)
+        async with host:
+            received = await talk(host.address, get(), until_close=True)
+            assert b'part' in received
+            assert not received.endswith(b'0\r\n\r\n')
+
+    play(main)
+
+
+def test_a_head_request_gets_no_body():
+    async def main():
+        async with Host() as host:
+            sent = b'HEAD /a HTTP/1.1\r\nHost: h\r\n' + CLOSE + b'\r\n'
+            received = await talk(host.address, sent, until_close=True)
+            assert received.endswith(b'\r\n\r\n')
+
+    play(main)
+
+
+def test_a_client_that_expects_it_is_told_to_go_on():
+    async def main():
+        async with Host() as host:
+            reader, writer = await asyncio.open_connection(*host.address)
+            writer.write(
+                b'POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+                b'Expect: 100-continue\r\n\r\n',
+            )
+            assert (await reader.readline()).startswith(b'HTTP/1.1 100')
+            writer.write(b'abc')
+            await reader.readuntil(b'<abc>')
+            writer.close()
+
+    play(main)
