--- a/cassiarail/telemetry/lines.py
+++ b/cassiarail/telemetry/lines.py
@@ -50,8 +50,13 @@
 
     def flush(self) -> None:
         """Write as much as the descriptor takes now."""
-        self._is_scheduled = False
         self._report_dropped()
+        self._write_batch()
+        self._is_scheduled = False
+        if self._lines:
+            self._schedule_later()
+
+    def _write_batch(self) -> None:
         batch = b''.join(self._lines)
         if not batch:
             return
@@ -67,7 +72,6 @@
         self._size = 0
         if written < len(batch):
             self._queue(batch[written:])
-            self._schedule()
 
     def _queue(self, line: bytes) -> None:
         if self._size + len(line) > MAX_BUFFERED_BYTES:
@@ -95,12 +99,15 @@
             )
 
     def _schedule(self) -> None:
-        if self._is_scheduled:
-            return
+        """Flush soon; without a running loop, try at once."""
+        if not self._is_scheduled and not self._schedule_later():
+            self.flush()
+
+    def _schedule_later(self) -> bool:
         try:
             loop = asyncio.get_running_loop()
         except RuntimeError:
-            self.flush()
-            return
+            return False
         self._is_scheduled = True
         loop.call_later(FLUSH_INTERVAL_S, self.flush)
+        return True
--- /dev/null
+++ b/tests/edge/test_tenure.py
@@ -0,0 +1,152 @@
+"""Guard that orders of two holders never come too close."""
+
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    rule,
+    run_state_machine_as_test,
+)
+
+from cassiarail.core.clock import ManualClock
+from cassiarail.core.exceptions import StoreError
+from cassiarail.edge.tenure import Tenure, TenureRules
+from cassiarail.store.backends.memory import MemoryObjectStore
+from cassiarail.store.leases import Lease
+from cassiarail.store.writes import ConditionalWriter
+from tests.store.driving import drive
+
+BETWEEN_S = 3.0
+RULES = TenureRules(lease_s=2.4, between_s=BETWEEN_S + 0.3)
+HOSTS = 3
+who = st.integers(0, HOSTS - 1)
+
+
+class Member:
+    """Hold a host's tenure and its path to the store."""
+
+    def __init__(self, name, clock, store):
+        generator = random.Random(name)
+        self.lease = Lease(
+            ConditionalWriter(store, clock, generator, 1),
+            'orders',
+            name,
+            clock,
+            generator,
+            RULES.lease_s,
+        )
+        self.heard = []
+        self.tenure = Tenure(
+            self.lease, clock, RULES, lambda: 0.5, self.heard.append
+        )
+
+
+class TenureMachine(RuleBasedStateMachine):
+    """Let hosts order, stop, freeze and lose the store."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.store = MemoryObjectStore()
+        self.cut = set()
+        self.members = [
+            Member(f'h{number}', self.clock, self.store)
+            for number in range(HOSTS)
+        ]
+        self.orders = {}
+
+    @rule(index=who)
+    def compete(self, index):
+        member = self.members[index]
+        if index in self.cut:
+            member.lease.abandon()
+            return
+        if member.tenure._may_compete():
+            try:
+                drive(member.tenure._attempt())
+            except StoreError:
+                return
+
+    @rule(tenths=st.integers(1, 40))
+    def pass_time(self, tenths):
+        self.clock.advance(tenths / 10)
+
+    @rule(index=who, engine=st.sampled_from('xy'))
+    def order(self, index, engine):
+        member = self.members[index]
+        if not member.tenure.may_order(engine):
+            return
+        now = self.clock.monotonic()
+        last = self.orders.get(engine)
+        if last and last[0] != index:
+            assert now - last[1] >= BETWEEN_S
+        self.orders[engine] = (index, now)
+
+    @rule(index=who)
+    def stop(self, index):
+        member = self.members[index]
+        if not member.tenure.is_held():
+            return
+        fence = member.tenure.fence
+        now = self.clock.monotonic()
+        idle_s = {
+            engine: now - at
+            for engine, (sender, at) in self.orders.items()
+            if sender == index
+        }
+        drive(member.tenure.drain())
+        member.tenure._is_stopping = False
+        for other in self.members:
+            if other is not member:
+                other.tenure.hear_resignation(fence, idle_s)
+
+    @rule(index=who)
+    def observe(self, index):
+        found = drive(self.store.read('lease', 'orders'))
+        if found is not None:
+            self.members[index].lease.observe(found.version)
+
+    @rule(index=who, is_cut=st.booleans())
+    def change_path(self, index, is_cut):
+        if is_cut:
+            self.cut.add(index)
+        else:
+            self.cut.discard(index)
+
+
+def test_orders_of_two_holders_keep_their_distance():
+    run_state_machine_as_test(
+        TenureMachine,
+        settings=settings(max_examples=150, stateful_step_count=60),
+    )
+
+
+def test_a_resignation_shortens_the_quiet_time():
+    clock = ManualClock()
+    store = MemoryObjectStore()
+    first, second = (Member(name, clock, store) for name in 'ab')
+    drive(first.tenure._attempt())
+    assert first.tenure.may_order('x')
+    clock.advance(1)
+    fence = first.tenure.fence
+    drive(first.tenure.drain())
+    second.tenure.hear_resignation(fence, {'x': 0.5, 'y': 60})
+    drive(second.tenure._attempt())
+    assert second.tenure.may_order('y')
+    assert not second.tenure.may_order('x')
+    assert not second.tenure.may_order('unknown')
+    drive(second.tenure._attempt())
+    for _renewal in range(4):
+        clock.advance(0.8)
+        drive(second.tenure._attempt())
+    assert second.tenure.may_order('x')
+
+
+def test_a_holder_that_stood_still_gives_no_orders():
+    clock = ManualClock()
+    member = Member('a', clock, MemoryObjectStore())
+    drive(member.tenure._attempt())
+    clock.advance(RULES.lease_s)
+    assert not member.tenure.may_order('x')
--- /dev/null
+++ b/tests/placement/test_ondemand.py
@@ -0,0 +1,201 @@
+"""Guard the plan of swaps against thrash and overfull engines."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cassiarail.placement.ondemand import (
+    EngineState,
+    Fleet,
+    ModelDemand,
+    ModelFacts,
+    plan_steps,
+)
+
+GB = 1_000_000_000
+MODELS = {
+    name: ModelFacts(name, size * GB, 0, GB // 100, 4.0, 0.8, 0.6)
+    for name, size in [('a', 65), ('b', 72), ('c', 72), ('d', 42), ('e', 42)]
+}
+IDLE = ModelDemand(idle_s=60)
+
+
+def make_engine(name, held, **changes):
+    engine = EngineState(
+        name,
+        200 * GB,
+        8,
+        32,
+        {model: frozenset() for model in held},
+    )
+    return engine._replace(**changes)
+
+
+def make_fleet(engines, demand, **changes):
+    fleet = Fleet(tuple(engines), MODELS, demand, {}, 5, 60.0)
+    return fleet._replace(**changes)
+
+
+def models_only(steps):
+    return [step for step in steps if not step.adapter]
+
+
+def test_a_missing_model_is_loaded_into_free_memory():
+    engines = [make_engine('x', 'ab')]
+    demand = {'d': ModelDemand(waiting=1), 'a': IDLE, 'b': IDLE}
+    steps = models_only(plan_steps(make_fleet(engines, demand)))
+    assert [(each.is_load, each.model) for each in steps] == [(True, 'd')]
+
+
+def test_a_model_that_nobody_asks_for_makes_way():
+    engines = [make_engine('x', 'ab')]
+    demand = {
+        'c': ModelDemand(waiting=1),
+        'a': ModelDemand(asked_per_s=5),
+        'b': IDLE,
+    }
+    steps = models_only(plan_steps(make_fleet(engines, demand)))
+    assert [(each.is_load, each.model, each.intended) for each in steps] == [
+        (False, 'b', 'c'),
+    ]
+
+
+def test_a_swap_in_progress_is_not_begun_elsewhere():
+    # Each plan evicted from another engine until all had lost a model.
+    engines = [
+        make_engine('x', 'a', intended='c', is_busy=True),
+        make_engine('y', 'ab'),
+    ]
+    demand = {'c': ModelDemand(waiting=1), 'b': IDLE}
+    assert not models_only(plan_steps(make_fleet(engines, demand)))
+
+
+def test_redundant_copies_are_counted_down_within_a_plan():
+    # Three engines dropped the busiest model in one plan.
+    engines = [make_engine(name, 'ab') for name in 'xyz']
+    demand = {
+        'a': ModelDemand(asked_per_s=30, in_flight=2),
+        'b': ModelDemand(asked_per_s=30, in_flight=2),
+        'c': ModelDemand(waiting=9, asked_per_s=30),
+        'd': ModelDemand(asked_per_s=9, waiting=9),
+        'e': ModelDemand(asked_per_s=9, waiting=9),
+    }
+    steps = models_only(plan_steps(make_fleet(engines, demand)))
+    for model in 'ab':
+        gone = sum(not each.is_load for each in steps if each.model == model)
+        assert gone < 3
+
+
+def test_weights_at_hand_are_preferred_to_the_store():
+    engines = [
+        make_engine('x', 'ab'),
+        make_engine('y', 'ab', on_disk=frozenset('d')),
+    ]
+    demand = {'d': ModelDemand(waiting=1)}
+    steps = models_only(plan_steps(make_fleet(engines, demand)))
+    assert [(each.engine, each.is_store_load) for each in steps] == [
+        ('y', False),
+    ]
+
+
+def test_a_short_wait_for_weights_at_hand_beats_the_store():
+    engines = [
+        make_engine('x', 'ab'),
+        make_engine(
+            'y',
+            'ab',
+            on_disk=frozenset('d'),
+            is_busy=True,
+            free_in_s=0.3,
+        ),
+    ]
+    demand = {'d': ModelDemand(waiting=1)}
+    assert not models_only(plan_steps(make_fleet(engines, demand)))
+
+
+def test_the_rate_of_the_store_bounds_its_loads():
+    engines = [make_engine(name, '') for name in 'xyz']
+    demand = {name: ModelDemand(waiting=1) for name in 'abc'}
+    steps = plan_steps(make_fleet(engines, demand, store_loads=2))
+    assert sum(each.is_store_load for each in steps) == 2
+
+
+def test_an_adapter_that_is_waited_for_replaces_the_idlest():
+    held = {'a': frozenset(f'a{number}' for number in range(1, 9))}
+    idle = {('a', f'a{number}'): float(number) for number in range(1, 9)}
+    engine = make_engine('x', '')._replace(held=held, adapter_idle_s=idle)
+    fleet = make_fleet([engine], {}, adapter_waiting={('a', 'a9'): 1})
+    (step,) = plan_steps(fleet)
+    assert (step.is_load, step.adapter) == (False, 'a8')
+
+
+def test_adapters_wait_for_an_engine_that_is_busy():
+    # Engines refuse every order while they load a model.
+    engine = make_engine('x', 'a', is_busy=True)
+    fleet = make_fleet([engine], {}, adapter_waiting={('a', 'a1'): 1})
+    assert not plan_steps(fleet)
+
+
+def test_adapters_of_busy_models_are_loaded_ahead():
+    # A request that waits for one is late when its engine loads weights.
+    models = {'a': MODELS['a']._replace(adapter_count=2)}
+    engine = make_engine('x', 'a')
+    fleet = make_fleet([engine], {'a': ModelDemand(asked_per_s=1)})
+    (step,) = plan_steps(fleet._replace(models=models))
+    assert (step.is_load, step.adapter) == (True, 'a1')
+
+
+names = st.sampled_from('abcde')
+engines = st.builds(
+    lambda held, busy, disk, places: make_engine(
+        'x',
+        held,
+        is_busy=busy,
+        on_disk=frozenset(disk),
+        adapter_places=places,
+    ),
+    st.sets(names, max_size=3).filter(
+        lambda held: (
+            sum(MODELS[each].weights_bytes for each in held) < 199 * GB
+        ),
+    ),
+    st.booleans(),
+    st.sets(names),
+    st.integers(0, 8),
+)
+demands = st.dictionaries(
+    names,
+    st.builds(
+        ModelDemand,
+        st.floats(0, 50),
+        st.integers(0, 60),
+        st.integers(0, 40),
+        st.floats(0, 60),
+        st.integers(0, 9),
+    ),
+)
+
+
+@given(st.lists(engines, min_size=1, max_size=4), demands, st.integers(0, 5))
+def test_no_order_overfills_an_engine(states, demand, store_loads):
+    # An engine that is ordered beyond its memory crashes (LIMIT).
+    states = [
+        state._replace(name=f'e{number}') for number, state in enumerate(states)
+    ]
+    wanted = {(name, 'a1'): 1 for name in demand}
+    fleet = make_fleet(
+        states, demand, store_loads=store_loads, adapter_waiting=wanted
+    )
+    steps = plan_steps(fleet)
+    assert len({step.engine for step in steps}) == len(steps)
+    for step in steps:
+        state = next(each for each in states if each.name == step.engine)
+        assert not state.is_busy
+        adapters = sum(len(each) for each in state.held.values())
+        if step.adapter:
+            assert step.model in state.held
+            assert not step.is_load or adapters < state.adapter_places
+        elif step.is_load:
+            used = sum(MODELS[name].weights_bytes for name in state.held)
+            used += MODELS[step.model].weights_bytes
+            used += adapters * GB // 100
+            assert used <= state.capacity_bytes
