--- a/cassiarail/edge/configuration.py
+++ b/cassiarail/edge/configuration.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from cassiarail.http1.listener import ClientLimits
+from cassiarail.http1.assembly import ClientLimits
 
 
 class RouteKind(enum.Enum):
--- /dev/null
+++ b/cassiarail/edge/control.py
@@ -0,0 +1,141 @@
+"""Build what a host needs to give orders and to speak with other hosts."""
+
+import random
+from typing import NamedTuple
+
+from cassiarail.conf.edge import EdgeSettings
+from cassiarail.conf.global_defaults import TARGET_CONNECT_TIMEOUT_S
+from cassiarail.core.clock import Clock
+from cassiarail.core.lifecycle import Component
+from cassiarail.edge.configuration import ConfigurationInForce
+from cassiarail.edge.demand import DemandMeter
+from cassiarail.edge.dialect import Dialect
+from cassiarail.edge.fleet_demand import FleetDemand
+from cassiarail.edge.holder import HolderParts, OrderHolder
+from cassiarail.edge.hosts import HostRegistry
+from cassiarail.edge.orders import LoadBudget, OrderGiver
+from cassiarail.edge.presence import Presence, PresenceParts
+from cassiarail.edge.suspects import CrashSuspects
+from cassiarail.edge.targets import TargetDirectory
+from cassiarail.edge.tenure import Tenure, TenureRules
+from cassiarail.edge.waiting import PlacementWaits
+from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
+from cassiarail.store.backends.base import ObjectStore
+from cassiarail.store.leases import ORDERS_LEASE, Lease
+from cassiarail.store.writes import ConditionalWriter
+
+# Spent on the way of an order and on clocks that run at different rates.
+_QUIET_MARGIN_S = 0.3
+_LEASE_S = 2.4
+# A write of the lease is given up well before the lease lapses.
+_WRITE_PATIENCE_S = 1.0
+
+
+class ControlBase(NamedTuple):
+    """Hold what the control parts share with the forwarding path."""
+
+    settings: EdgeSettings
+    dialect: Dialect
+    store: ObjectStore
+    configuration: ConfigurationInForce
+    directory: TargetDirectory
+
+
+class ControlParts:
+    """Own demand, presence, the lease and the order holder."""
+
+    def __init__(
+        self,
+        base: ControlBase,
+        clock: Clock,
+        generator: random.Random,
+    ) -> None:
+        self.suspects = CrashSuspects(clock)
+        self._base = base
+        self._clock = clock
+        self._generator = generator
+        self._build_peers()
+        self._build_holder()
+
+    @property
+    def components(self) -> tuple[Component, ...]:
+        """Return the parts that run."""
+        return (self.presence, self._hosts, self._tenure, self.holder)
+
+    def _build_peers(self) -> None:
+        clock = self._clock
+        settings = self._base.settings
+        self.meter = DemandMeter(clock)
+        self._fleet_demand = FleetDemand(clock)
+        self.waits = PlacementWaits(lambda: self.presence.report_soon())
+        self._hosts = HostRegistry(
+            self._base.store,
+            (settings['name'], {'address': settings['peers']}),
+            lambda: self.holder.is_holder,
+            clock,
+            self._generator,
+        )
+        self.presence = Presence(
+            settings['name'],
+            Address.parse(settings['peers']),
+            PresenceParts(
+                self.meter,
+                self._fleet_demand,
+                self.suspects,
+                self._base.directory,
+                self.waits,
+                lambda: self._hosts.hosts,
+            ),
+            clock,
+        )
+
+    def _build_holder(self) -> None:
+        clock = self._clock
+        writer = ConditionalWriter(
+            self._base.store,
+            clock,
+            self._generator,
+            _WRITE_PATIENCE_S,
+        )
+        settings = self._base.settings
+        bounds = settings['bounds']
+        self._budget = LoadBudget(clock, bounds['loads_window_s'])
+        self.order_pool = ConnectionPool(PoolRules(TARGET_CONNECT_TIMEOUT_S))
+        self.lease = Lease(
+            writer,
+            ORDERS_LEASE,
+            settings['name'],
+            clock,
+            self._generator,
+            _LEASE_S,
+        )
+        self._tenure = Tenure(
+            self.lease,
+            clock,
+            TenureRules(_LEASE_S, bounds['lease_s'] + _QUIET_MARGIN_S),
+            self._generator.random,
+            self._change_tenure,
+        )
+        self.holder = OrderHolder(
+            HolderParts(
+                self._tenure,
+                OrderGiver(self.order_pool, self._base.dialect, clock),
+                self._base.directory,
+                self._base.configuration,
+                self._fleet_demand,
+                self._budget,
+                self.presence.report_soon,
+            ),
+            clock,
+        )
+        self.presence.tenure = self._tenure
+        self.presence.holder = self.holder
+
+    def _change_tenure(self, has_begun: bool) -> None:
+        if has_begun:
+            self._budget.begin(is_first=self._tenure.fence == 1)
+            self.holder.begin()
+            self.presence.report(is_whole=True)
+        else:
+            self.holder.end()
+            self.presence.resign()
--- a/cassiarail/edge/engines.py
+++ b/cassiarail/edge/engines.py
@@ -4,7 +4,9 @@
 
 from cassiarail.core.clock import Clock
 from cassiarail.edge.targets import Holdings, Target, Want
-from cassiarail.placement.ondemand import EngineState
+from cassiarail.placement.fleet import (
+    EngineState,
+)
 
 # An adapter is ready this long after its order; ten milliseconds and what
 # the fullest store adds.
--- a/cassiarail/edge/fleet_demand.py
+++ b/cassiarail/edge/fleet_demand.py
@@ -9,7 +9,9 @@
 from cassiarail.edge.messages import DemandRow, Digest
 from cassiarail.edge.targets import Want
 from cassiarail.edge.waiting import WaitingWant
-from cassiarail.placement.ondemand import ModelDemand
+from cassiarail.placement.fleet import (
+    ModelDemand,
+)
 
 # Reports come twice a second; one that is older is of a host that is gone.
 _REPORT_LIFE_S = 2.0
--- a/cassiarail/edge/holder.py
+++ b/cassiarail/edge/holder.py
@@ -19,12 +19,12 @@
 from cassiarail.edge.orders import LoadBudget, OrderGiver
 from cassiarail.edge.targets import Target, TargetDirectory
 from cassiarail.edge.tenure import Tenure
-from cassiarail.placement.ondemand import (
+from cassiarail.placement.fleet import (
     Fleet,
     ModelFacts,
     Step,
-    plan_steps,
 )
+from cassiarail.placement.ondemand import plan_steps
 
 _TICK_S = 0.1
 # A report is read if an engine's entry doesn't show the end of a load or an
--- a/cassiarail/edge/orders.py
+++ b/cassiarail/edge/orders.py
@@ -11,12 +11,17 @@
 from cassiarail.edge.targets import Want
 from cassiarail.http1.calls import call_server
 from cassiarail.http1.pool import ConnectionPool
-from cassiarail.placement.ondemand import Step
+from cassiarail.placement.fleet import (
+    Step,
+)
 
 _ORDER_TIMEOUT_S = 0.8
 _REPORT_TIMEOUT_S = 0.8
 # Reports are priced; one that failed is asked for again after this.
 _REPORT_PAUSE_S = 0.25
+# With all of the window used by the holder before, the sum stays below the
+# tolerance of a tenth and three loads that the operators allow.
+_SHARE_AFTER_TAKEOVER = 0.4
 _ACCEPTED = frozenset((200, 202))
 _OK = 200
 
@@ -28,6 +33,12 @@
         self._clock = clock
         self._window_s = window_s
         self._begun: collections.deque[float] = collections.deque()
+        self._tenure_at = float('-inf')
+
+    def begin(self, *, is_first: bool) -> None:
+        """Begin a tenure; an earlier holder may have used the window."""
+        if not is_first:
+            self._tenure_at = self._clock.monotonic()
 
     def record(self) -> None:
         """Count a load, even if its order may be lost."""
@@ -38,7 +49,10 @@
         oldest = self._clock.monotonic() - self._window_s
         while self._begun and self._begun[0] <= oldest:
             self._begun.popleft()
-        return max(0, int(loads_per_s * self._window_s) - len(self._begun))
+        allowed = loads_per_s * self._window_s
+        if self._tenure_at > oldest:
+            allowed *= _SHARE_AFTER_TAKEOVER
+        return max(0, int(allowed) - len(self._begun))
 
 
 class OrderGiver:
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -7,30 +7,23 @@
 from prometheus_client import CollectorRegistry
 
 from cassiarail.conf.edge import EdgeSettings
+from cassiarail.conf.global_defaults import TARGET_CONNECT_TIMEOUT_S
 from cassiarail.core.clock import BootClock
 from cassiarail.core.lifecycle import Application, Component
 from cassiarail.edge.attempts import AttemptRunner
 from cassiarail.edge.configuration import ConfigurationInForce
-from cassiarail.edge.demand import DemandMeter
+from cassiarail.edge.control import ControlBase, ControlParts
 from cassiarail.edge.dialect import Dialect
 from cassiarail.edge.expectations import LoadExpectations
-from cassiarail.edge.fleet_demand import FleetDemand
 from cassiarail.edge.following import ConfigurationFollower, TargetFollower
 from cassiarail.edge.forwarding import Forwarder, ForwardingParts
 from cassiarail.edge.front import CallerFront, DrainRules
-from cassiarail.edge.holder import HolderParts, OrderHolder
-from cassiarail.edge.hosts import HostRegistry
 from cassiarail.edge.metrics import EdgeMetrics
-from cassiarail.edge.orders import LoadBudget, OrderGiver
-from cassiarail.edge.presence import Presence, PresenceParts
 from cassiarail.edge.selection import TargetSelector
 from cassiarail.edge.status import MetricsListener, ReadinessListener
-from cassiarail.edge.suspects import CrashSuspects
 from cassiarail.edge.targets import TargetDirectory
-from cassiarail.edge.tenure import Tenure, TenureRules
 from cassiarail.edge.upkeep import SettingsWatch, Upkeep
-from cassiarail.edge.waiting import PlacementWaits
-from cassiarail.edge.watches import Watches
+from cassiarail.edge.watches import Watches, WatchHooks
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.limits.budgets import ServiceBudgets
 from cassiarail.limits.shared_budget import BudgetRules
@@ -38,16 +31,8 @@
 from cassiarail.routing.outliers import OutlierDetector, OutlierRules
 from cassiarail.store.backends.base import ObjectStore
 from cassiarail.store.guard import Checkable
-from cassiarail.store.leases import ORDERS_LEASE, Lease
-from cassiarail.store.writes import ConditionalWriter
 from cassiarail.telemetry.lines import LineWriter
 
-_CONNECT_TIMEOUT_S = 0.5
-# Spent on the way of an order and on clocks that run at different rates.
-_QUIET_MARGIN_S = 0.3
-_LEASE_S = 2.4
-# A write of the lease is given up well before the lease lapses.
-_WRITE_PATIENCE_S = 1.0
 # Requests that are still in progress at this share of the time to stop are
 # cut, so that the answer of the cut still leaves.
 _STOP_SHARE = 0.92
@@ -92,9 +77,17 @@
         self._lines = lines
         self._in_force = ConfigurationInForce()
         self._directory = TargetDirectory(self._clock.monotonic)
-        self._suspects = CrashSuspects(self._clock)
-        self._build_peers()
-        self._build_holder()
+        self._control = ControlParts(
+            ControlBase(
+                settings,
+                links.dialect,
+                links.store,
+                self._in_force,
+                self._directory,
+            ),
+            self._clock,
+            self._generator,
+        )
         self._build_forwarding()
         self.application = Application(
             'edge',
@@ -111,76 +104,10 @@
             and self._watches.is_listed
         )
 
-    def _build_peers(self) -> None:
-        clock = self._clock
-        self._meter = DemandMeter(clock)
-        self._fleet_demand = FleetDemand(clock)
-        self._waits = PlacementWaits(lambda: self._presence.report_soon())
-        self._hosts = HostRegistry(
-            self._links.store,
-            (self._settings['name'], {'address': self._settings['peers']}),
-            lambda: self._holder.is_holder,
-            clock,
-            self._generator,
-        )
-        self._presence = Presence(
-            self._settings['name'],
-            Address.parse(self._settings['peers']),
-            PresenceParts(
-                self._meter,
-                self._fleet_demand,
-                self._suspects,
-                self._directory,
-                self._waits,
-                lambda: self._hosts.hosts,
-            ),
-            clock,
-        )
-
-    def _build_holder(self) -> None:
-        clock = self._clock
-        writer = ConditionalWriter(
-            self._links.store,
-            clock,
-            self._generator,
-            _WRITE_PATIENCE_S,
-        )
-        bounds = self._settings['bounds']
-        self._order_pool = ConnectionPool(PoolRules(_CONNECT_TIMEOUT_S))
-        self._lease = Lease(
-            writer,
-            ORDERS_LEASE,
-            self._settings['name'],
-            clock,
-            self._generator,
-            _LEASE_S,
-        )
-        self._tenure = Tenure(
-            self._lease,
-            clock,
-            TenureRules(_LEASE_S, bounds['lease_s'] + _QUIET_MARGIN_S),
-            self._generator.random,
-            self._change_tenure,
-        )
-        self._holder = OrderHolder(
-            HolderParts(
-                self._tenure,
-                OrderGiver(self._order_pool, self._links.dialect, clock),
-                self._directory,
-                self._in_force,
-                self._fleet_demand,
-                LoadBudget(clock, bounds['loads_window_s']),
-                self._presence.report_soon,
-            ),
-            clock,
-        )
-        self._presence.tenure = self._tenure
-        self._presence.holder = self._holder
-
     def _build_forwarding(self) -> None:
         clock = self._clock
         self._choice = EarliestChoice(self._generator)
-        self._pool = ConnectionPool(PoolRules(_CONNECT_TIMEOUT_S))
+        self._pool = ConnectionPool(PoolRules(TARGET_CONNECT_TIMEOUT_S))
         self._outliers = OutlierDetector(
             clock,
             self._list_siblings,
@@ -209,15 +136,15 @@
                     self._choice,
                 ),
                 outliers=self._outliers,
-                waits=self._waits,
-                demand=self._meter,
-                suspects=self._suspects,
+                waits=self._control.waits,
+                demand=self._control.meter,
+                suspects=self._control.suspects,
                 metrics=self._metrics,
                 budget_of=self._budgets.of_service,
                 load_estimate=LoadExpectations(
                     self._directory,
                     self._in_force,
-                    self._presence,
+                    self._control.presence,
                 ).estimate,
             ),
         )
@@ -246,8 +173,7 @@
             ),
             clock,
             self._generator,
-            self._target_pause,
-            self._lease.observe,
+            WatchHooks(self._target_pause, self._control.lease.observe),
         )
 
     def _components(self, path: pathlib.Path) -> list[Component]:
@@ -255,15 +181,12 @@
         metrics = self._settings['metrics']
         return [
             self._watches,
-            self._presence,
-            self._hosts,
-            self._tenure,
-            self._holder,
+            *self._control.components,
             Upkeep(
                 self._clock,
                 [
                     self._pool.sweep,
-                    self._order_pool.sweep,
+                    self._control.order_pool.sweep,
                     self._follower.expire,
                 ],
                 self._thaw,
@@ -287,8 +210,8 @@
         instances = frozenset(target.instance for target in self._directory)
         self._choice.retain(instances)
         self._outliers.retain(instances)
-        self._waits.wake()
-        self._holder.wake()
+        self._control.waits.wake()
+        self._control.holder.wake()
 
     def _list_siblings(self, instance: str) -> list[str]:
         target = self._directory.get(instance)
@@ -298,16 +221,8 @@
             each.instance for each in self._directory.of_service(target.service)
         ]
 
-    def _change_tenure(self, has_begun: bool) -> None:
-        if has_begun:
-            self._holder.begin()
-            self._presence.report(is_whole=True)
-        else:
-            self._holder.end()
-            self._presence.resign()
-
     def _target_pause(self) -> float:
-        if self._holder.is_holder:
+        if self._control.holder.is_holder:
             return _HOLDER_PAUSE_S
         return _PAUSE_S
 
@@ -316,7 +231,7 @@
         return True
 
     def _count_hosts(self) -> int:
-        return self._presence.host_count or _UNKNOWN_HOSTS
+        return self._control.presence.host_count or _UNKNOWN_HOSTS
 
     def _read_drain_rules(self) -> DrainRules:
         return DrainRules(self._settings['bounds']['stop_s'] * _STOP_SHARE)
@@ -326,7 +241,7 @@
 
     def _thaw(self) -> None:
         self._pool.close_idle()
-        self._order_pool.close_idle()
+        self._control.order_pool.close_idle()
         self._watches.reconnect()
 
     def _apply(self, settings: EdgeSettings) -> None:
--- a/cassiarail/edge/watches.py
+++ b/cassiarail/edge/watches.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 import anyio
 
@@ -13,6 +14,17 @@
 from cassiarail.store.watching import Follower, KindWatcher
 
 
+class WatchHooks(NamedTuple):
+    """Hold what the watches ask for and tell.
+
+    ``target_pause_s`` is how long changes of targets are gathered.
+    ``observe_lease`` is told the versions of the lease that were read.
+    """
+
+    target_pause_s: Callable[[], float]
+    observe_lease: Callable[[int], None]
+
+
 class Watches(Component):
     """Run the watches of targets and configuration, and their guard."""
 
@@ -27,8 +39,7 @@
         configuration: Follower,
         clock: Clock,
         generator: random.Random,
-        target_pause_s: Callable[[], float],
-        observe_lease: Callable[[int], None],
+        hooks: WatchHooks,
     ) -> None:
         self._checkable = checkable
         self._targets = KindWatcher(
@@ -37,7 +48,7 @@
             targets,
             clock,
             generator,
-            target_pause_s,
+            hooks.target_pause_s,
         )
         self._configuration = KindWatcher(
             store,
@@ -51,7 +62,7 @@
             (self._targets, self._configuration),
             clock,
             generator.random,
-            observe_lease,
+            hooks.observe_lease,
         )
 
     @property
--- a/cassiarail/http1/connections.py
+++ b/cassiarail/http1/connections.py
@@ -160,19 +160,21 @@
         return encoded + (self._parser.send(h11.EndOfMessage()) or b'')
 
     async def _next_event(self) -> h11.Event:
-        while True:
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                raise self._fail(f'answer is not HTTP: {error}') from error
-            if event is h11.NEED_DATA:
-                await self._wait_for_data()
-                continue
-            if isinstance(event, h11.ConnectionClosed):
-                raise self._fail(self._error or 'closed before the answer')
-            if not isinstance(event, h11.Event):
-                raise self._fail('bytes after the answer')
-            return event
+        event = self._parse()
+        while event is h11.NEED_DATA:
+            await self._wait_for_data()
+            event = self._parse()
+        if isinstance(event, h11.ConnectionClosed):
+            raise self._fail(self._error or 'closed before the answer')
+        if not isinstance(event, h11.Event):
+            raise self._fail('bytes after the answer')
+        return event
+
+    def _parse(self) -> object:
+        try:
+            return self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            raise self._fail(f'answer is not HTTP: {error}') from error
 
     async def _wait_for_data(self) -> None:
         self._unread = 0
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -3,17 +3,21 @@
 import asyncio
 import http
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple, cast
+from typing import cast
 
 import h11
 
+from cassiarail.http1.assembly import (
+    ClientLimits,
+    RequestAssembler,
+    UnreadRequestError,
+)
 from cassiarail.http1.exchanges import Exchange
-from cassiarail.http1.messages import Headers, RequestHead, find_header
 from cassiarail.http1.pool import Address
 from cassiarail.http1.sockets import watch_for_silence
+from cassiarail.http1.writing import AnswerWriter
 
 OnExchange = Callable[[Exchange], Awaitable[None]]
-_HEAD = b'HEAD'
 # Bytes of later requests that are read ahead while one is being answered.
 _MAX_AHEAD_BYTES = 65_536
 # Clients reuse connections until shortly before the idle limit; closing only
@@ -22,27 +26,7 @@
 _BACKLOG = 1024
 
 
-# A request with both is framed differently by different parsers.
-_AMBIGUOUS = frozenset((b'content-length', b'transfer-encoding'))
-
-
-class ClientLimits(NamedTuple):
-    """Bound what clients may send and how long they may take."""
-
-    head_max_bytes: int = 16_384
-    body_max_bytes: int = 4_194_304
-    read_timeout_s: float = 3.0
-    idle_s: float = 15.0
-
-
-class _Failure(NamedTuple):
-    """Hold the answer to a request that could not be read."""
-
-    status: int
-    reason: str
-
-
-class ServerConnection(asyncio.Protocol, Exchange):
+class ServerConnection(asyncio.Protocol):
     """Read requests of one client and hand them to the handler in order."""
 
     def __init__(self, listener: 'Http1Listener') -> None:
@@ -55,27 +39,20 @@
             max_incomplete_event_size=self._limits.head_max_bytes,
         )
         self._transport: asyncio.Transport | None = None
+        self._writer = AnswerWriter(self._parser, self._end_answer)
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._writable = asyncio.Event()
-        self._writable.set()
-        self._pieces: list[bytes] = []
-        self._size = 0
+        self._assembler = RequestAssembler()
         self._ahead = 0
         self._is_reading = False
-        self._is_gone = False
-        self.peer = ''
-
-    # Protocol callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to wait for the first request."""
         self._transport = cast(asyncio.Transport, transport)
         watch_for_silence(transport)
-        peer = transport.get_extra_info('peername')
-        self.peer = f'{peer[0]}:{peer[1]}' if peer else ''
+        self._writer.open(self._transport)
         self._listener.add(self)
-        self._set_timer(self._limits.idle_s + _IDLE_MARGIN_S, self._end_idle)
+        self._set_timer(self._limits.idle_s + _IDLE_MARGIN_S, self.close)
 
     def data_received(self, received: bytes) -> None:
         """Read on, unless the answer to an earlier request is due first."""
@@ -86,8 +63,7 @@
                 self._transport.pause_reading()
             return
         if not self._is_reading:
-            self._is_reading = True
-            self._set_timer(self._limits.read_timeout_s, self._end_slow)
+            self._expect_request()
         self._read_request()
 
     def eof_received(self) -> bool:
@@ -96,8 +72,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the work for a client that has left."""
-        self._is_gone = True
-        self._writable.set()
+        self._writer.give_up()
         self._cancel_timer()
         self._listener.remove(self)
         if self._task is not None and self.is_answering:
@@ -105,186 +80,98 @@
 
     def pause_writing(self) -> None:
         """Hold pieces back while the client doesn't read."""
-        self._writable.clear()
+        self._writer.writable.clear()
 
     def resume_writing(self) -> None:
         """Send pieces again."""
-        self._writable.set()
-
-    # The exchange
-
-    def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer."""
-        length = find_header(headers, b'content-length')
-        framed = list(headers)
-        if length is None:
-            framed.append((b'content-length', b'%d' % len(body)))
-        self._send_head(status, framed)
-        if body and self.head.method != _HEAD:
-            self._send(h11.Data(data=body))
-        self._finish()
-
-    def begin_stream(self, status: int, headers: Headers) -> None:
-        """Send the head of an answer of unknown length."""
-        self._send_head(status, headers)
-
-    async def send_piece(self, piece: bytes) -> None:
-        """Send bytes of the body."""
-        self._send(h11.Data(data=piece))
-        if not self._writable.is_set():
-            await self._writable.wait()
-
-    def finish_stream(self) -> None:
-        """End the body as complete."""
-        self._finish()
-
-    def break_off(self) -> None:
-        """Close the connection before the answer is complete."""
-        self.is_answering = False
+        self._writer.writable.set()
+
+    def close(self) -> None:
+        """Close the connection; what was written still leaves."""
         if self._transport is not None:
             self._transport.close()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or answered."""
-        if not (self.is_answering or self._is_reading) and self._transport:
-            self._transport.close()
+        if not (self.is_answering or self._is_reading):
+            self.close()
 
-    # Reading
+    def _expect_request(self) -> None:
+        self._is_reading = True
+        self._set_timer(self._limits.read_timeout_s, self._end_slow)
 
     def _read_request(self) -> None:
         while not self.is_answering:
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
-                self._refuse(_Failure(error.error_status_hint, str(error)))
+                self._refuse(
+                    UnreadRequestError(error.error_status_hint, str(error)),
+                )
                 return
             if event is h11.NEED_DATA:
-                self._send_continue()
+                self._writer.send_continue()
                 return
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 return
-            self._take_event(event)
+            try:
+                self._take_event(event)
+            except UnreadRequestError as error:
+                self._refuse(error)
 
     def _take_event(self, event: object) -> None:
         if isinstance(event, h11.Request):
-            self._take_head(event)
+            self._writer.received_at = self._loop.time()
+            self._assembler.begin(event, self._limits)
         elif isinstance(event, h11.Data):
-            self._size += len(event.data)
-            self._pieces.append(bytes(event.data))
-            if self._size > self._limits.body_max_bytes:
-                self._refuse(
-                    _Failure(
-                        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                        'body is too large',
-                    ),
-                )
+            self._assembler.add(bytes(event.data), self._limits)
         elif isinstance(event, h11.EndOfMessage):
-            self.body = b''.join(self._pieces)
-            self._pieces = []
+            self._assembler.finish()
             self._start()
 
-    def _take_head(self, event: h11.Request) -> None:
-        self.received_at = self._loop.time()
-        self.head = RequestHead(
-            bytes(event.method),
-            bytes(event.target),
-            list(event.headers),
-        )
-        self._pieces = []
-        self._size = 0
-        names = {name for name, _text in self.head.headers}
-        size = len(self.head.target) + sum(
-            len(name) + len(text) for name, text in self.head.headers
-        )
-        if size > self._limits.head_max_bytes:
-            status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            self._refuse(_Failure(status, 'head is too large'))
-        elif names >= _AMBIGUOUS:
-            status = http.HTTPStatus.BAD_REQUEST
-            self._refuse(_Failure(status, 'body is framed twice'))
-
     def _start(self) -> None:
         self._cancel_timer()
         self._is_reading = False
         self.is_answering = True
-        self._task = self._loop.create_task(self._listener.answer(self))
-
-    def _send_continue(self) -> None:
-        if self._parser.they_are_waiting_for_100_continue:
-            self._send(h11.InformationalResponse(status_code=100, headers=[]))
-
-    # Writing
-
-    def _send_head(self, status: int, headers: Headers) -> None:
-        if self._listener.is_draining:
-            headers = [*headers, (b'connection', b'close')]
-        else:
-            seconds = int(self._limits.idle_s)
-            headers = [*headers, (b'keep-alive', b'timeout=%d' % seconds)]
-        self._send(
-            h11.Response(
-                status_code=status,
-                reason=_phrase(status),
-                headers=headers,
-            ),
-        )
-
-    def _send(self, event: h11.Event) -> None:
-        if self._is_gone or self._transport is None:
-            return
-        encoded = self._parser.send(event)
-        if encoded:
-            self._transport.write(encoded)
-
-    def _finish(self) -> None:
-        if self._is_gone or self._transport is None:
-            return
-        self._send(h11.EndOfMessage())
+        writer = self._writer
+        writer.head = self._assembler.head
+        writer.body = self._assembler.body
+        writer.idle_s = self._limits.idle_s
+        writer.is_closing = self._listener.is_draining
+        self._task = self._loop.create_task(self._listener.answer(writer))
+
+    def _end_answer(self, is_reusable: bool) -> None:
+        """Begin with the next request, or close."""
         self.is_answering = False
-        if self._parser.our_state is not h11.DONE:
-            self._transport.close()
-            return
-        if self._parser.their_state is not h11.DONE:
-            self._transport.close()
+        if not is_reusable or self._transport is None:
+            self.close()
             return
-        self._begin_next()
-
-    def _begin_next(self) -> None:
         self._parser.start_next_cycle()
         self._limits = self._listener.limits()
-        if self._parser.trailing_data[0] and self._transport:
+        if self._parser.trailing_data[0]:
             self._ahead = 0
             self._transport.resume_reading()
-            self._is_reading = True
-            self._set_timer(self._limits.read_timeout_s, self._end_slow)
+            self._expect_request()
             # The handler's task ends first.
             self._loop.call_soon(self._read_request)
             return
-        self._set_timer(self._limits.idle_s + _IDLE_MARGIN_S, self._end_idle)
+        self._set_timer(self._limits.idle_s + _IDLE_MARGIN_S, self.close)
 
-    def _refuse(self, failure: _Failure) -> None:
+    def _refuse(self, error: UnreadRequestError) -> None:
         """Answer a request that was not read, and close."""
         self._cancel_timer()
         self.is_answering = True
-        self._listener.count_unread(failure.status, failure.reason)
-        if self._parser.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
-            body = failure.reason.encode()
-            framing = [
-                (b'content-length', b'%d' % len(body)),
-                (b'connection', b'close'),
-            ]
-            self._send(
-                h11.Response(
-                    status_code=failure.status,
-                    reason=_phrase(failure.status),
-                    headers=framing,
-                ),
-            )
-            self._send(h11.Data(data=body))
-        if self._transport is not None:
-            self._transport.close()
+        self._listener.count_unread(error.status, error.reason)
+        self._writer.refuse(error.status, error.reason)
+        self.close()
 
-    # Timers
+    def _end_slow(self) -> None:
+        self._refuse(
+            UnreadRequestError(
+                http.HTTPStatus.REQUEST_TIMEOUT,
+                'request came too slowly',
+            ),
+        )
 
     def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
         self._cancel_timer()
@@ -295,17 +182,6 @@
             self._timer.cancel()
             self._timer = None
 
-    def _end_idle(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
-
-    def _end_slow(self) -> None:
-        self._refuse(
-            _Failure(
-                http.HTTPStatus.REQUEST_TIMEOUT, 'request came too slowly'
-            ),
-        )
-
 
 class Http1Listener:
     """Listen on one address and run a task for each request."""
@@ -351,7 +227,7 @@
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
-            connection.break_off()
+            connection.close()
 
     def close_idle(self) -> None:
         """Close the connections on which no request is in progress."""
@@ -374,10 +250,3 @@
     def remove(self, connection: ServerConnection) -> None:
         """Forget a connection that has ended."""
         self._connections.discard(connection)
-
-
-def _phrase(status: int) -> bytes:
-    try:
-        return http.HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b''
--- /dev/null
+++ b/cassiarail/http1/writing.py
@@ -0,0 +1,131 @@
+"""Write the answers of one client's connection."""
+
+import asyncio
+import http
+from collections.abc import Callable
+
+import h11
+
+from cassiarail.http1.exchanges import Exchange
+from cassiarail.http1.messages import Headers, RequestHead, find_header
+
+_HEAD = b'HEAD'
+
+
+class AnswerWriter(Exchange):
+    """Hold the request being answered, and frame its answer.
+
+    ``is_closing`` announces that the connection closes after the answer;
+    otherwise ``idle_s`` tells the client for how long it may be reused.
+    """
+
+    def __init__(
+        self,
+        parser: h11.Connection,
+        on_end: Callable[[bool], None],
+    ) -> None:
+        """Tell ``on_end`` whether the connection can be used again."""
+        self.head = RequestHead(b'', b'', [])
+        self.body = b''
+        self.received_at = float(0)
+        self.peer = ''
+        self.idle_s = float(0)
+        self.is_closing = False
+        self.writable = asyncio.Event()
+        self.writable.set()
+        self._parser = parser
+        self._on_end = on_end
+        self._transport: asyncio.Transport | None = None
+
+    def open(self, transport: asyncio.Transport) -> None:
+        """Write to a transport from now on."""
+        self._transport = transport
+        peer = transport.get_extra_info('peername')
+        self.peer = f'{peer[0]}:{peer[1]}' if peer else ''
+
+    def give_up(self) -> None:
+        """Drop all further bytes; the client has left."""
+        self._transport = None
+        self.writable.set()
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        framed = list(headers)
+        if find_header(headers, b'content-length') is None:
+            framed.append((b'content-length', b'%d' % len(body)))
+        self.begin_stream(status, framed)
+        if body and self.head.method != _HEAD:
+            self._send(h11.Data(data=body))
+        self.finish_stream()
+
+    def begin_stream(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer."""
+        if self.is_closing:
+            framed = [*headers, (b'connection', b'close')]
+        else:
+            announced = b'timeout=%d' % int(self.idle_s)
+            framed = [*headers, (b'keep-alive', announced)]
+        self._send_head(status, framed)
+
+    async def send_piece(self, piece: bytes) -> None:
+        """Send bytes of the body."""
+        self._send(h11.Data(data=piece))
+        if not self.writable.is_set():
+            await self.writable.wait()
+
+    def finish_stream(self) -> None:
+        """End the body as complete."""
+        if self._transport is None:
+            return
+        self._send(h11.EndOfMessage())
+        self._on_end(
+            self._parser.our_state is h11.DONE
+            and self._parser.their_state is h11.DONE,
+        )
+
+    def break_off(self) -> None:
+        """Close the connection before the answer is complete."""
+        if self._transport is not None:
+            self._on_end(False)
+
+    def refuse(self, status: int, reason: str) -> None:
+        """Answer a request that was not read."""
+        if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        body = reason.encode()
+        self._send_head(
+            status,
+            [
+                (b'content-length', b'%d' % len(body)),
+                (b'connection', b'close'),
+            ],
+        )
+        self._send(h11.Data(data=body))
+
+    def send_continue(self) -> None:
+        """Tell a client that waits for it to send the body."""
+        if self._parser.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _send_head(self, status: int, headers: Headers) -> None:
+        self._send(
+            h11.Response(
+                status_code=status,
+                reason=_phrase(status),
+                headers=headers,
+            ),
+        )
+
+    def _send(self, event: h11.Event) -> None:
+        if self._transport is None:
+            return
+        encoded = self._parser.send(event)
+        if encoded:
+            self._transport.write(encoded)
+
+
+def _phrase(status: int) -> bytes:
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b''
--- a/cassiarail/platform/documents.py
+++ b/cassiarail/platform/documents.py
@@ -15,7 +15,7 @@
 )
 from cassiarail.edge.dialect import UnreadableDocumentError
 from cassiarail.edge.targets import Holdings, Target
-from cassiarail.http1.listener import ClientLimits
+from cassiarail.http1.assembly import ClientLimits
 from cassiarail.http1.pool import Address
 
 _MS = 1000
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -24,7 +24,8 @@
 from cassiarail.edge.suspects import CrashSuspects
 from cassiarail.edge.targets import Holdings, Target, TargetDirectory
 from cassiarail.edge.waiting import PlacementWaits
-from cassiarail.http1.listener import ClientLimits, Http1Listener
+from cassiarail.http1.assembly import ClientLimits
+from cassiarail.http1.listener import Http1Listener
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.limits.budgets import ServiceBudgets
 from cassiarail.limits.shared_budget import BudgetRules
--- a/tests/http1/test_listener.py
+++ b/tests/http1/test_listener.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from cassiarail.http1.listener import ClientLimits, Http1Listener
+from cassiarail.http1.assembly import ClientLimits
+from cassiarail.http1.listener import Http1Listener
 from cassiarail.http1.pool import Address
 from tests.http1.wire import play, talk
 
