Bring models without any copy into memory ahead; tell of leaving targets

Change: while nothing is missing, such a model may replace an idle one; the order holder's datagrams name leaving targets, as a second path.

--- a/cassiarail/edge/messages.py
+++ b/cassiarail/edge/messages.py
@@ -62,6 +62,7 @@
     """Tell all hosts what the order holder knows.
 
     ``hosts`` counts the registered hosts; ``is_last`` ends the tenure.
+    ``leaving`` names the starts of targets that take no new requests.
     """
 
     host: str
@@ -70,6 +71,7 @@
     engines: list[EngineRow]
     expected: list[ExpectedRow]
     losses: list[LossRow]
+    leaving: list[tuple[str, int]]
     is_last: bool = False
 
 
--- a/cassiarail/edge/presence.py
+++ b/cassiarail/edge/presence.py
@@ -163,6 +163,8 @@
             else:
                 self.tenure.hear_holder()
         self._holder_address = sender
+        for identity in ledger.leaving:
+            self._parts.directory.learn_leaving(identity)
         now = self._clock.monotonic()
         self._holder_heard_at = now
         self._expected = {
@@ -228,6 +230,7 @@
             rows,
             holder.list_expected() if holder else [],
             self._list_losses(),
+            self._parts.directory.list_leaving(),
             is_last,
         )
 
--- a/cassiarail/edge/targets.py
+++ b/cassiarail/edge/targets.py
@@ -89,6 +89,7 @@
         self._patient_until = float('-inf')
         self._missing: dict[str, float] = {}
         self._told: dict[tuple[str, int], _Told] = {}
+        self._leaving: set[tuple[str, int]] = set()
 
     def __iter__(self) -> Iterator[Target]:
         return iter(self._targets.values())
@@ -124,6 +125,8 @@
     def put(self, target: Target) -> None:
         """Take the newest description of a target."""
         self._missing.pop(target.instance, None)
+        if target.identity in self._leaving:
+            target = target._replace(is_leaving=True)
         earlier = self._entries.get(target.instance)
         self._entries[target.instance] = target
         if earlier and earlier.holdings.models != target.holdings.models:
@@ -143,6 +146,7 @@
         self._entries.pop(instance, None)
         self._missing.pop(instance, None)
         self._told.pop(target.identity, None)
+        self._leaving.discard(target.identity)
         self.version += 1
 
     def expire(self) -> list[str]:
@@ -173,6 +177,27 @@
             self._targets[entry.instance] = self._combine(entry)
             self.version += 1
 
+    def list_leaving(self) -> list[tuple[str, int]]:
+        """Return the starts that the registry says are leaving."""
+        return [
+            entry.identity
+            for entry in self._entries.values()
+            if entry.is_leaving
+        ]
+
+    def learn_leaving(self, identity: tuple[str, int]) -> None:
+        """Believe another host that a target is leaving.
+
+        A target that leaves never comes back under the same start, so the
+        news is true even if it is old.
+        """
+        if identity in self._leaving:
+            return
+        self._leaving.add(identity)
+        entry = self._entries.get(identity[0])
+        if entry and entry.identity == identity and not entry.is_leaving:
+            self.put(entry)
+
     def get_entry(self, instance: str) -> Target | None:
         """Return a target as the registry has it."""
         return self._entries.get(instance)
--- a/cassiarail/placement/ondemand.py
+++ b/cassiarail/placement/ondemand.py
@@ -35,6 +35,8 @@
 _DRAIN_S = 1.0
 # Loads from the weight store that are kept for models that are asked for.
 _RESERVED_LOADS = 4
+# An idle model may make way for one that has no copy anywhere.
+_IDLE_LOSS = 1.0
 # The harm of losing a redundant copy, as a share of the harm of the last.
 _REDUNDANT_SHARE = 0.3
 
@@ -64,6 +66,9 @@
         self._store_loads = fleet.store_loads
         self._copies: dict[str, int] = {}
         self._used: set[str] = set()
+        self._is_asked = any(
+            demand.asked_per_s for demand in fleet.demand.values()
+        )
         for engine in fleet.engines:
             for model in list_models(engine):
                 self._copies[model] = self._copies.get(model, 0) + 1
@@ -84,36 +89,49 @@
                 return
             if self._lacks_copies(name):
                 yield from self._place_model(name)
-        if not self._has_missing:
-            yield from self._fill_free_memory()
+        if not self._has_missing and self._store_loads > _RESERVED_LOADS:
+            yield from self._prepare()
 
-    def _fill_free_memory(self) -> Iterator[Step]:
-        """Load a model that nothing holds where nothing has to go for it.
+    def _prepare(self) -> Iterator[Step]:
+        """Load a model that nothing holds, before anybody asks for it.
 
         Demand moves to models that were silent, and a model that is held, or
-        was, serves its first request seconds earlier.
+        was, serves its first request seconds earlier. One without a copy in
+        any engine's memory or on its disk may replace an idle model;
+        others only take free memory.
         """
-        if self._store_loads <= _RESERVED_LOADS:
+        engines = self._fleet.engines
+        if self._is_asked and any(engine.loading for engine in engines):
             return
         unheld = [
             model
             for model in self._fleet.models.values()
             if not self._copies.get(model.name)
         ]
-        for model in unheld:
-            engine = self._find_free(model)
-            if engine is not None:
-                yield self._make_step(model, engine, ())
+        at_hand = {
+            name
+            for engine in engines
+            for name in engine.in_memory | engine.on_disk
+        }
+        for model in sorted(unheld, key=lambda each: each.name in at_hand):
+            limit = 0 if model.name in at_hand else _IDLE_LOSS
+            step = self._prepare_at_best(model, limit)
+            if step is not None:
+                yield step
                 return
 
-    def _find_free(self, model: ModelFacts) -> EngineState | None:
-        for engine in self._fleet.engines:
-            if not self._is_open(engine):
-                continue
-            victims, _loss = self._choose_victims(model, engine)
-            if victims is not None and not victims:
-                return engine
-        return None
+    def _prepare_at_best(self, model: ModelFacts, limit: float) -> Step | None:
+        ways = [
+            (loss, engine.name, engine, victims)
+            for engine in self._fleet.engines
+            if self._is_open(engine)
+            for victims, loss in (self._choose_victims(model, engine),)
+            if victims is not None and loss <= limit
+        ]
+        if not ways:
+            return None
+        _loss, _name, engine, victims = min(ways)
+        return self._make_step(model, engine, victims)
 
     def _is_open(self, engine: EngineState) -> bool:
         return engine.name not in self._used and not engine.is_busy
--- a/tests/edge/test_targets.py
+++ b/tests/edge/test_targets.py
@@ -51,6 +51,19 @@
     assert directory.of_service('s')
 
 
+def test_the_holder_tells_of_a_leaving_target():
+    # One host's own watch may be late; a second path keeps the bound (DRAIN).
+    directory, _clock = make(TARGET)
+    directory.learn_leaving(('i', 2))
+    assert directory.of_service('s')
+    directory.learn_leaving(TARGET.identity)
+    assert not directory.of_service('s')
+    directory.put(TARGET)
+    assert not directory.of_service('s')
+    directory.put(TARGET._replace(born_ms=3))
+    assert directory.of_service('s')
+
+
 def test_a_leaving_target_is_not_waited_for():
     directory, _clock = make(TARGET._replace(is_leaving=True))
     directory.begin_patience()
