--- a/cassiarail/commands/demo.py
+++ b/cassiarail/commands/demo.py
@@ -1,10 +1,13 @@
 """Define the program ``cassiarail-demo``."""
 
+import errno
 import logging as standard_logging
 import pathlib
 import resource
+import socket
 import sys
 import time
+from collections.abc import Iterable
 from typing import Annotated
 
 import typer
@@ -12,8 +15,10 @@
 
 from cassiarail.commands.options import EXIT_FAILED
 from cassiarail.commands.version import VersionOption
+from cassiarail.declarations.loader import load_declarations
 from cassiarail.load.report import ReportDocument, write_report
 from cassiarail.standins.faults import FaultName
+from cassiarail.testbed.layout import derive_layout
 from cassiarail.testbed.runner import RunResult, RunSettings, run_on_loopback
 
 program = typer.Typer(add_completion=False)
@@ -59,6 +64,10 @@
         breakages=(break_promise,) if break_promise else (),
     )
     started_at = time.process_time()
+    taken = find_taken_address(_list_addresses(folder, settings))
+    if taken is not None:
+        typer.echo(f'cannot listen on {taken}: address in use', err=True)
+        raise typer.Exit(EXIT_FAILED)
     outcome = run_on_loopback(settings)
     measured = _add_usage(
         outcome.report,
@@ -71,6 +80,36 @@
         raise typer.Exit(EXIT_FAILED)
 
 
+def find_taken_address(addresses: Iterable[str]) -> str | None:
+    """Return the first address on which another process listens."""
+    for address in addresses:
+        host, _, port = address.rpartition(':')
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((host, int(port)))
+            except OSError as error:
+                if error.errno == errno.EADDRINUSE:
+                    return address
+                raise
+    return None
+
+
+def _list_addresses(
+    folder: pathlib.Path,
+    settings: RunSettings,
+) -> list[str]:
+    layout = derive_layout(
+        load_declarations(folder),
+        settings.hosts_per_data_centre,
+        settings.seed,
+    )
+    return [
+        layout.store_url.removeprefix('http://'),
+        *(gateway['callers']['address'] for gateway in layout.gateways),
+    ]
+
+
 def _add_usage(
     report: ReportDocument,
     cpu_s: float,
--- a/cassiarail/platform/hosts.py
+++ b/cassiarail/inventory/hosts.py
@@ -14,8 +14,8 @@
 from cassiarail.core.events import emit_event
 from cassiarail.core.lifecycle import Component
 from cassiarail.core.validation import CheckIds, DocumentChecker
-from cassiarail.platform.events import HOST_LIST_CHANGED, HOST_LIST_FAILED
-from cassiarail.platform.exceptions import PlatformError
+from cassiarail.inventory.events import HOST_LIST_CHANGED, HOST_LIST_FAILED
+from cassiarail.inventory.exceptions import PlatformError
 
 _TIMEOUT_S = 2.0
 # The list lags by more than this; targets and peers report changes earlier.
--- a/cassiarail/platform/weights.py
+++ b/cassiarail/inventory/weights.py
@@ -8,7 +8,7 @@
 
 import httpx
 
-from cassiarail.platform.exceptions import (
+from cassiarail.inventory.exceptions import (
     PlatformError,
     WeightsMissingError,
     WeightStoreBusyError,
--- a/cassiarail/placement/ondemand.py
+++ b/cassiarail/placement/ondemand.py
@@ -35,6 +35,8 @@
 _DRAIN_S = 1.0
 # Loads from the weight store that are kept for models that are asked for.
 _RESERVED_LOADS = 4
+# Copies whose engines are full are added even while a model is missing.
+_FULL_CROWDING = 0.65
 # An idle model may make way for one that has no copy anywhere.
 _IDLE_LOSS = 1.0
 # The harm of losing a redundant copy, as a share of the harm of the last.
@@ -85,11 +87,10 @@
                 self._used.add(engine.name)
                 yield from self._finish_swap(engine)
         for name in self._by_urgency():
-            if self._copies.get(name) and self._has_missing:
-                return
             if self._lacks_copies(name):
                 yield from self._place_model(name)
-        if not self._has_missing and self._store_loads > _RESERVED_LOADS:
+        has_time = not self._has_missing and self._fleet.is_settled
+        if has_time and self._store_loads > _RESERVED_LOADS:
             yield from self._prepare()
 
     def _prepare(self) -> Iterator[Step]:
@@ -113,7 +114,8 @@
             for engine in engines
             for name in engine.in_memory | engine.on_disk
         }
-        for model in sorted(unheld, key=lambda each: each.name in at_hand):
+        unheld.sort(key=lambda each: each.name in at_hand)
+        for model in unheld:
             limit = 0 if model.name in at_hand else _IDLE_LOSS
             step = self._prepare_at_best(model, limit)
             if step is not None:
@@ -168,6 +170,10 @@
 
     def _lacks_copies(self, name: str) -> bool:
         copies = self._copies.get(name, 0)
+        is_full = self._crowding(name) > _FULL_CROWDING
+        if copies and self._has_missing and not is_full:
+            # Missing models go first.
+            return False
         return copies < min(self._wanted(name), len(self._fleet.engines))
 
     def _wanted(self, name: str) -> int:
--- a/cassiarail/platform/__init__.py
+++ b/cassiarail/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Read the host list and the weight store of the platform."""
+"""Translate between the users' platform and the product."""
--- a/tests/docs/test_catalogues.py
+++ b/tests/docs/test_catalogues.py
@@ -6,7 +6,7 @@
 import re
 
 import cassiarail
-from cassiarail.conf import global_defaults, schema
+from cassiarail.conf import edge, global_defaults, schema
 from cassiarail.core.events import list_events
 from cassiarail.core.exceptions import CassiarailError
 
@@ -58,6 +58,10 @@
         schema.TelemetrySettings,
         schema.CallerLimits,
         schema.PeerSettings,
+        edge.EdgeSettings,
+        edge.QuestionSettings,
+        edge.RegistrySettings,
+        edge.BoundSettings,
     )
     keys = {key for shape in shapes for key in shape.__annotations__}
     defaults = {name for name in vars(global_defaults) if name.isupper()}
--- a/tests/platform/test_platform.py
+++ b/tests/inventory/test_inventory.py
@@ -7,13 +7,13 @@
 
 from cassiarail.core.clock import ManualClock
 from cassiarail.core.loops import run_virtual
-from cassiarail.platform.exceptions import (
+from cassiarail.inventory.exceptions import (
     PlatformError,
     WeightsMissingError,
     WeightStoreBusyError,
 )
-from cassiarail.platform.hosts import HostDirectory, HostListClient, HostRole
-from cassiarail.platform.weights import WeightStoreClient
+from cassiarail.inventory.hosts import HostDirectory, HostListClient, HostRole
+from cassiarail.inventory.weights import WeightStoreClient
 
 _HOSTS = [
     {
