--- a/cassiarail/commands/demo.py
+++ b/cassiarail/commands/demo.py
@@ -15,7 +15,7 @@
 
 from cassiarail.commands.options import EXIT_FAILED
 from cassiarail.commands.version import VersionOption
-from cassiarail.declarations.loader import load_declarations
+from cassiarail.declarations.loader import load_folder
 from cassiarail.load.report import ReportDocument, write_report
 from cassiarail.standins.faults import FaultName
 from cassiarail.testbed.layout import derive_layout
@@ -99,8 +99,9 @@
     folder: pathlib.Path,
     settings: RunSettings,
 ) -> list[str]:
+    declarations, _problems = load_folder(folder)
     layout = derive_layout(
-        load_declarations(folder),
+        declarations,
         settings.hosts_per_data_centre,
         settings.seed,
     )
--- a/cassiarail/edge/engines.py
+++ b/cassiarail/edge/engines.py
@@ -15,8 +15,6 @@
 _ENTRY_LAG_S = 3.0
 # An unload waits for the runs of its model; after this the plan is made anew.
 _INTENT_S = 4.0
-# Engines that start together register within a few heartbeats (1.2 s).
-_SETTLED_S = 2.5
 # Stands for an engine that has had no order of this holder.
 _LONG_AGO_S = 3600.0
 
@@ -197,7 +195,6 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._records: dict[tuple[str, int], EngineRecord] = {}
-        self._added_at = clock.monotonic()
 
     def __iter__(self) -> Iterator[EngineRecord]:
         return iter(self._records.values())
@@ -212,14 +209,9 @@
             record = self._records.get(identity)
             if record is None:
                 self._records[identity] = EngineRecord(target, self._clock)
-                self._added_at = self._clock.monotonic()
             else:
                 record.follow(target)
 
-    def is_settled(self) -> bool:
-        """Tell whether all engines have probably registered."""
-        return self._clock.monotonic() - self._added_at >= _SETTLED_S
-
     def clear(self) -> None:
         """Forget all; another host gives orders from now on."""
         self._records.clear()
--- a/cassiarail/edge/forwarding.py
+++ b/cassiarail/edge/forwarding.py
@@ -39,14 +39,6 @@
 _MARGIN_S = 0.1
 _WAIT_SHARE = 0.8
 _DEADLINE_MARGIN_S = 0.01
-# Requests at an engine, as a share of its slots, from which on a new one of
-# the least urgent rank would begin after about two seconds, when callers have
-# given up. Each more urgent rank may wait for a little longer, since engines
-# admit it first.
-_FULL_AT = 1.8
-_RANK_STEP = 0.3
-_RANKS = 2
-_RETRY_QUEUED_S = 1.0
 
 
 class Refusal(Exception):
@@ -254,28 +246,10 @@
             )
         while True:
             target = self._parts.selector.choose(job)
-            if target is not None and not job.attempts:
-                self._check_queue(job)
             if target is not None or job.attempts:
                 return target
             await self._wait_for_target(job)
 
-    def _check_queue(self, job: Job) -> None:
-        """Refuse what would wait in a queue for longer than callers do."""
-        if not job.route.is_stream:
-            return
-        occupancy = self._parts.selector.least_occupancy(
-            job.service.name,
-            job.request.want,
-        )
-        limit = _FULL_AT + _RANK_STEP * max(0, _RANKS - job.route.rank)
-        if occupancy is not None and occupancy >= limit:
-            raise Refusal(
-                http.HTTPStatus.SERVICE_UNAVAILABLE,
-                'the engines have a long queue',
-                _RETRY_QUEUED_S,
-            )
-
     async def _wait_for_target(self, job: Job) -> None:
         service, want = job.service, job.request.want
         now = asyncio.get_running_loop().time()
--- a/cassiarail/edge/holder.py
+++ b/cassiarail/edge/holder.py
@@ -220,7 +220,6 @@
             adapter_waiting=demand.waiting_adapters(service),
             store_loads=self._parts.budget.left(engine.loads_per_s),
             known_s=demand.unasked_s(),
-            is_settled=self._records.is_settled(),
         )
 
 
--- a/cassiarail/placement/fleet.py
+++ b/cassiarail/placement/fleet.py
@@ -75,8 +75,7 @@
 
     ``store_loads`` is how many loads from the weight store may begin now.
     ``known_s`` is how long demand has been known: a model that nobody asked
-    for has been idle for no longer than that. ``is_settled`` is false while
-    engines still register: what nothing holds can't be told then.
+    for has been idle for no longer than that.
     """
 
     engines: tuple[EngineState, ...]
@@ -85,7 +84,6 @@
     adapter_waiting: Mapping[tuple[str, str], int]
     store_loads: int
     known_s: float = 0
-    is_settled: bool = True
 
 
 def find_load_time(model: ModelFacts, engine: EngineState) -> float:
--- a/cassiarail/placement/ondemand.py
+++ b/cassiarail/placement/ondemand.py
@@ -33,12 +33,6 @@
 _MOVE_LOSS = 0.2
 # An unload waits for the runs of its model, while the engine takes no order.
 _DRAIN_S = 1.0
-# Loads from the weight store that are kept for models that are asked for.
-_RESERVED_LOADS = 4
-# Copies whose engines are full are added even while a model is missing.
-_FULL_CROWDING = 0.65
-# An idle model may make way for one that has no copy anywhere.
-_IDLE_LOSS = 1.0
 # The harm of losing a redundant copy, as a share of the harm of the last.
 _REDUNDANT_SHARE = 0.3
 
@@ -68,9 +62,6 @@
         self._store_loads = fleet.store_loads
         self._copies: dict[str, int] = {}
         self._used: set[str] = set()
-        self._is_asked = any(
-            demand.asked_per_s for demand in fleet.demand.values()
-        )
         for engine in fleet.engines:
             for model in list_models(engine):
                 self._copies[model] = self._copies.get(model, 0) + 1
@@ -89,51 +80,6 @@
         for name in self._by_urgency():
             if self._lacks_copies(name):
                 yield from self._place_model(name)
-        has_time = not self._has_missing and self._fleet.is_settled
-        if has_time and self._store_loads > _RESERVED_LOADS:
-            yield from self._prepare()
-
-    def _prepare(self) -> Iterator[Step]:
-        """Load a model that nothing holds, before anybody asks for it.
-
-        Demand moves to models that were silent, and a model that is held, or
-        was, serves its first request seconds earlier. One without a copy in
-        any engine's memory or on its disk may replace an idle model;
-        others only take free memory.
-        """
-        engines = self._fleet.engines
-        if self._is_asked and any(engine.loading for engine in engines):
-            return
-        unheld = [
-            model
-            for model in self._fleet.models.values()
-            if not self._copies.get(model.name)
-        ]
-        at_hand = {
-            name
-            for engine in engines
-            for name in engine.in_memory | engine.on_disk
-        }
-        unheld.sort(key=lambda each: each.name in at_hand)
-        for model in unheld:
-            limit = 0 if model.name in at_hand else _IDLE_LOSS
-            step = self._prepare_at_best(model, limit)
-            if step is not None:
-                yield step
-                return
-
-    def _prepare_at_best(self, model: ModelFacts, limit: float) -> Step | None:
-        ways = [
-            (loss, engine.name, engine, victims)
-            for engine in self._fleet.engines
-            if self._is_open(engine)
-            for victims, loss in (self._choose_victims(model, engine),)
-            if victims is not None and loss <= limit
-        ]
-        if not ways:
-            return None
-        _loss, _name, engine, victims = min(ways)
-        return self._make_step(model, engine, victims)
 
     def _is_open(self, engine: EngineState) -> bool:
         return engine.name not in self._used and not engine.is_busy
@@ -170,8 +116,7 @@
 
     def _lacks_copies(self, name: str) -> bool:
         copies = self._copies.get(name, 0)
-        is_full = self._crowding(name) > _FULL_CROWDING
-        if copies and self._has_missing and not is_full:
+        if copies and self._has_missing:
             # Missing models go first.
             return False
         return copies < min(self._wanted(name), len(self._fleet.engines))
