Log errors that were only commented on; remove unused types

Datagrams that can't be delivered, failed registrations and renewals, and answers that are lost after their caller has left each get a bounded log line. No decision changes.

--- a/cassiarail/edge/attempts.py
+++ b/cassiarail/edge/attempts.py
@@ -5,11 +5,13 @@
 from collections.abc import Coroutine
 from typing import Any, NamedTuple, TypeVar
 
+from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import (
     ConnectFailedError,
     ConnectionLostError,
 )
 from cassiarail.edge.dialect import AnswerFacts, AttemptTerms, Dialect
+from cassiarail.edge.events import UNHEARD_LOST
 from cassiarail.edge.jobs import AttemptResult, Job, Outcome, WholeAnswer
 from cassiarail.edge.targets import Target
 from cassiarail.http1.connections import ClientConnection
@@ -279,7 +281,9 @@
             return
         # What must run once is not torn from its target halfway.
         left_s = max(0, job.deadline - asyncio.get_running_loop().time())
-        task = asyncio.create_task(self._read_unheard(connection, left_s))
+        task = asyncio.create_task(
+            self._read_unheard(connection, left_s, job.request.request_id),
+        )
         self._unheard.add(task)
         task.add_done_callback(self._unheard.discard)
 
@@ -287,12 +291,14 @@
         self,
         connection: ClientConnection,
         left_s: float,
+        request_id: str,
     ) -> None:
         try:
             async with asyncio.timeout(left_s):
                 await connection.read_head(lambda _head: True)
                 await connection.read_piece_end()
-        except (TimeoutError, ConnectionLostError):
+        except (TimeoutError, ConnectionLostError) as error:
+            emit_event(UNHEARD_LOST, request=request_id, error=repr(error))
             self._pool.discard(connection, 'caller left')
             return
         self._pool.release(connection)
--- a/cassiarail/edge/dialect.py
+++ b/cassiarail/edge/dialect.py
@@ -1,7 +1,6 @@
 """Define how requests, answers and targets are spoken of on the wire."""
 
 import abc
-from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 from cassiarail.core.exceptions import RequestError
@@ -125,14 +124,3 @@
     @abc.abstractmethod
     def decode_report(self, body: bytes) -> tuple[int, Holdings, bool]:
         """Read a report: the start, what is held, and whether it is busy."""
-
-
-class Kinds(NamedTuple):
-    """Name the kinds of objects in the store."""
-
-    targets: str
-    configuration: str
-    configuration_name: str
-
-
-Documents = Mapping[str, Any]
--- a/cassiarail/edge/events.py
+++ b/cassiarail/edge/events.py
@@ -112,3 +112,23 @@
     level=logging.WARNING,
     summary='entry of a host is unreadable and is not used',
 )
+PEER_UNREACHABLE = define_event(
+    number=5203,
+    level=logging.WARNING,
+    summary='datagram could not be delivered to a peer',
+)
+HOST_NOT_REGISTERED = define_event(
+    number=5204,
+    level=logging.WARNING,
+    summary='entry of this host could not be written; trying again',
+)
+RENEWAL_FAILED = define_event(
+    number=3206,
+    level=logging.WARNING,
+    summary='lease could not be acquired or renewed; trying again',
+)
+UNHEARD_LOST = define_event(
+    number=2106,
+    level=logging.INFO,
+    summary='answer was lost after its caller had left; it may have run',
+)
--- a/cassiarail/edge/hosts.py
+++ b/cassiarail/edge/hosts.py
@@ -10,7 +10,7 @@
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import StoreError, VersionConflictError
 from cassiarail.core.lifecycle import Component
-from cassiarail.edge.events import HOST_ENTRY_UNREADABLE
+from cassiarail.edge.events import HOST_ENTRY_UNREADABLE, HOST_NOT_REGISTERED
 from cassiarail.http1.pool import Address
 from cassiarail.store.backends.base import (
     Listing,
@@ -98,8 +98,9 @@
                 await self._write()
             except VersionConflictError:
                 failures += 1
-            except StoreError:
-                # The guard logs the outage; the entry is written after it.
+            except StoreError as error:
+                if not failures:
+                    emit_event(HOST_NOT_REGISTERED, error=error.message)
                 failures += 1
             else:
                 return
--- a/cassiarail/edge/peers.py
+++ b/cassiarail/edge/peers.py
@@ -7,10 +7,13 @@
 import msgspec
 
 from cassiarail.core.events import emit_event
-from cassiarail.edge.events import PEER_UNREADABLE
+from cassiarail.edge.events import PEER_UNREACHABLE, PEER_UNREADABLE
 from cassiarail.edge.messages import Message, decode_message, encode_message
 from cassiarail.http1.pool import Address
 
+# A peer that is gone is answered for at each datagram, twice a second.
+_ERRORS_A_LINE = 100
+
 OnMessage = Callable[[Message, Address], None]
 
 
@@ -20,6 +23,7 @@
     def __init__(self, address: Address, on_message: OnMessage) -> None:
         self.address = address
         self.sent_bytes = 0
+        self._errors = 0
         self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -62,4 +66,10 @@
         self._on_message(message, Address(str(sender[0]), int(sender[1])))
 
     def error_received(self, error: Exception) -> None:
-        """Ignore unreachable peers; each message is repeated anyway."""
+        """Log an unreachable peer, and then each hundredth time.
+
+        Nothing else is done: each message is sent again anyway.
+        """
+        if not self._errors % _ERRORS_A_LINE:
+            emit_event(PEER_UNREACHABLE, error=repr(error))
+        self._errors += 1
--- a/cassiarail/edge/tenure.py
+++ b/cassiarail/edge/tenure.py
@@ -12,7 +12,7 @@
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import StoreError
 from cassiarail.core.lifecycle import Component
-from cassiarail.edge.events import HOLDER_BEGINS, HOLDER_ENDS
+from cassiarail.edge.events import HOLDER_BEGINS, HOLDER_ENDS, RENEWAL_FAILED
 from cassiarail.store.leases import RATE_MARGIN, Lease
 
 _TICK_S = 0.1
@@ -75,6 +75,7 @@
         self._renew_at = float(0)
         self._is_holder = False
         self._is_stopping = False
+        self._has_failed = False
         self._orders_from = float('inf')
         self._resigned: Resignation | None = None
 
@@ -146,15 +147,20 @@
         rules = self._rules
         try:
             await self._lease.attempt()
-        except StoreError:
-            # The guard logs the outage. A host that can still reach the store
-            # takes over sooner if the lease is given up before it lapses.
+        except StoreError as error:
+            if not self._has_failed:
+                emit_event(RENEWAL_FAILED, error=error.message)
+            self._has_failed = True
+            # A host that can still reach the store takes over sooner if the
+            # lease is given up before it lapses.
             if (
                 self._is_holder
                 and self._lease.seconds_left() < rules.lease_s / 2
             ):
                 self._lease.abandon()
                 self._end('store is out of reach')
+        else:
+            self._has_failed = False
         now = self._clock.monotonic()
         self._renew_at = now + rules.lease_s / rules.renewals_per_lease
         if self._lease.is_held() and not self._is_holder:
--- a/cassiarail/platform/dialect.py
+++ b/cassiarail/platform/dialect.py
@@ -169,5 +169,6 @@
     try:
         running, waiting, slots = (int(part) for part in text.split(','))
     except ValueError:
+        # Without a usable report, a target's load is this host's own count.
         return None
     return ReportedLoad(running, waiting, slots)
