Plan swaps by the harm to callers, retake an own lease, track silent targets

Change: requests whose objective is shorter than a swap keep their model resident; weights are loaded ahead before traffic; an engine that drains or is out of reach is expected to stay so; a process that restarts takes over the lease of the process before it on its machine; targets that are silent or can't be connected to get one probe a second.

--- a/cassiarail/edge/attempts.py
+++ b/cassiarail/edge/attempts.py
@@ -24,6 +24,7 @@
 )
 from cassiarail.http1.pool import ConnectionPool
 from cassiarail.routing.earliest import EarliestChoice
+from cassiarail.routing.reach import ReachTracker
 
 _Read = TypeVar('_Read')
 _MAX_ANSWER_BYTES = 8_388_608
@@ -64,11 +65,13 @@
         pool: ConnectionPool,
         dialect: Dialect,
         choice: EarliestChoice,
+        reach: ReachTracker,
         rules: AttemptRules | None = None,
     ) -> None:
         self._pool = pool
         self._dialect = dialect
         self._choice = choice
+        self._reach = reach
         self._rules = rules or AttemptRules()
         self._unheard: set[asyncio.Task[None]] = set()
 
@@ -91,8 +94,10 @@
         try:
             connection = await self._pool.acquire(target.address, max_idle_s)
         except ConnectFailedError as error:
+            self._reach.fail(target.identity)
             return AttemptResult(Outcome.NOT_RUN, error.message)
         job.in_flight = True
+        self._reach.begin(target.identity)
         try:
             return await self._exchange(job, target, connection)
         except ConnectionLostError as error:
@@ -104,6 +109,8 @@
         except BaseException:
             self._pool.discard(connection, 'attempt failed')
             raise
+        finally:
+            self._reach.end(target.identity)
 
     async def _exchange(
         self,
@@ -121,6 +128,7 @@
         head = self._dialect.encode_attempt(job.exchange.head, terms)
         connection.send(head, job.exchange.body)
         answer, facts = await self._read_head(job, connection)
+        self._reach.hear(target.identity)
         connection.keep_alive_s = read_keep_alive(answer.headers)
         if facts.load is not None:
             self._choice.use_of(target.instance).take_report(
@@ -137,7 +145,7 @@
         if not (facts.is_signed and facts.is_unencoded):
             raise ConnectionLostError('answer is not one of the target')
         if job.route.is_stream:
-            return await self._pass_stream(job, connection, answer)
+            return await self._pass_stream(job, target, connection, answer)
         return await self._pass_whole(job, connection, answer)
 
     async def _read_head(
@@ -232,11 +240,13 @@
     async def _pass_stream(
         self,
         job: Job,
+        target: Target,
         connection: ClientConnection,
         head: AnswerHead,
     ) -> AttemptResult:
         while True:
             piece = await self._read_piece(job, connection)
+            self._reach.hear(target.identity)
             if not job.has_begun:
                 job.has_begun = True
                 job.exchange.begin_stream(
--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -20,6 +20,7 @@
 from cassiarail.edge.tenure import Tenure, TenureRules
 from cassiarail.edge.waiting import PlacementWaits
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
+from cassiarail.routing.reach import ReachTracker
 from cassiarail.store.backends.base import ObjectStore
 from cassiarail.store.leases import ORDERS_LEASE, Lease
 from cassiarail.store.writes import ConditionalWriter
@@ -39,6 +40,7 @@
     store: ObjectStore
     configuration: ConfigurationInForce
     directory: TargetDirectory
+    reach: ReachTracker
 
 
 class ControlParts:
@@ -104,7 +106,7 @@
         self.lease = Lease(
             writer,
             ORDERS_LEASE,
-            settings['name'],
+            f'{settings["name"]}@{settings["peers"]}',
             clock,
             self._generator,
             _LEASE_S,
@@ -124,6 +126,7 @@
                 self._base.configuration,
                 self._fleet_demand,
                 self._budget,
+                self._base.reach,
                 self.presence.report_soon,
             ),
             clock,
--- a/cassiarail/edge/demand.py
+++ b/cassiarail/edge/demand.py
@@ -16,6 +16,7 @@
 
     ``asked`` counts requests in the last ``_WINDOW_S`` seconds, ``refused``
     those of them that were turned away, ``in_flight`` those in progress.
+    ``objective_s`` is the shortest objective of the requests counted.
     """
 
     service: str
@@ -23,6 +24,7 @@
     asked: int
     in_flight: int
     refused: int
+    objective_s: float
 
 
 _Key = tuple[str, Want]
@@ -33,6 +35,7 @@
 
     at: float
     key: _Key
+    objective_s: float = 0
 
 
 class DemandMeter:
@@ -45,13 +48,19 @@
         self._refused: collections.deque[_Moment] = collections.deque()
 
     @contextlib.contextmanager
-    def track(self, service: str, want: Want | None) -> Iterator[None]:
+    def track(
+        self,
+        service: str,
+        want: Want | None,
+        objective_s: float,
+    ) -> Iterator[None]:
         """Count a request while it is in progress."""
         if want is None:
             yield
             return
         key = (service, want)
-        self._asked.append(_Moment(self._clock.monotonic(), key))
+        moment = _Moment(self._clock.monotonic(), key, objective_s)
+        self._asked.append(moment)
         self._in_flight[key] += 1
         try:
             yield
@@ -74,7 +83,17 @@
         keys = asked.keys() | {
             key for key, count in self._in_flight.items() if count
         }
+        objectives: dict[_Key, float] = {}
+        for moment in self._asked:
+            known = objectives.get(moment.key, moment.objective_s)
+            objectives[moment.key] = min(known, moment.objective_s)
         return [
-            Demand(*key, asked[key], self._in_flight[key], refused[key])
+            Demand(
+                *key,
+                asked[key],
+                self._in_flight[key],
+                refused[key],
+                objectives.get(key, 0),
+            )
             for key in sorted(keys)
         ]
--- a/cassiarail/edge/engines.py
+++ b/cassiarail/edge/engines.py
@@ -15,6 +15,10 @@
 _ENTRY_LAG_S = 3.0
 # An unload waits for the runs of its model; after this the plan is made anew.
 _INTENT_S = 4.0
+# An unload waits for the runs of its model for at least about this long.
+_SHORTEST_DRAIN_S = 0.4
+# From an order or a question to its answer.
+_ANSWER_S = 0.1
 # Stands for an engine that has had no order of this holder.
 _LONG_AGO_S = 3600.0
 
@@ -25,6 +29,7 @@
     def __init__(self, target: Target, clock: Clock) -> None:
         self.target = target
         self.holdings = target.holdings
+        self.first_held = frozenset(target.holdings.models)
         self.loading: Want | None = None
         self.unloading: Want | None = None
         self.intended = ''
@@ -33,6 +38,7 @@
         self.in_order = False
         self.ordered_at = clock.monotonic() - _LONG_AGO_S
         self.needs_report = True
+        self.blocked_since = clock.monotonic()
         self.report_after = float(0)
         self.loaded_at: dict[str, float] = {}
         self.changed_at = float(0)
@@ -66,7 +72,7 @@
         if now - self.changed_at < _ENTRY_LAG_S or self.settling:
             return
         if set(listed) != set(self.holdings.models):
-            self.needs_report = True
+            self.ask_report()
             self.changed_at = now
 
     def take_report(self, holdings: Holdings, *, is_busy: bool) -> None:
@@ -75,7 +81,9 @@
         A report doesn't name what an order of an earlier holder is loading,
         so that an engine which is busy with one has to be asked again.
         """
-        self.needs_report = is_busy and self.settling is None
+        self.needs_report = False
+        if is_busy and self.settling is None:
+            self.ask_report()
         if not holdings.in_memory and not holdings.on_disk:
             holdings = holdings._replace(
                 in_memory=self.holdings.in_memory,
@@ -88,6 +96,12 @@
             holdings = _without(holdings, self.unloading.model)
         self._adopt(holdings)
 
+    def ask_report(self) -> None:
+        """Give no order until the engine has told what it holds."""
+        if not self.needs_report:
+            self.needs_report = True
+            self.blocked_since = self._clock.monotonic()
+
     def accept_order(
         self,
         want: Want,
@@ -143,7 +157,7 @@
             loading=self.loading.model if self.loading else '',
             intended=self.intended if now < self.intended_until else '',
             is_busy=self.is_busy,
-            free_in_s=max(0, self.ready_at - now) if self.settling else 0,
+            free_in_s=self._free_in_s(now),
             in_memory=self.holdings.in_memory,
             on_disk=self.holdings.on_disk,
             loaded_s={
@@ -161,7 +175,7 @@
         """Ask for a report if an entry doesn't show the end of an order."""
         if self.settling and now > self.ready_at + late_s:
             self.ready_at = now
-            self.needs_report = True
+            self.ask_report()
 
     @property
     def settling(self) -> Want | None:
@@ -179,6 +193,19 @@
             self.needs_report and not self.in_order and now >= self.report_after
         )
 
+    def _free_in_s(self, now: float) -> float:
+        """Return when the engine takes the next order.
+
+        What has taken longer than expected is taken to last as long again.
+        """
+        if self.loading:
+            return max(self.ready_at - now, now - self.ready_at, 0)
+        if self.unloading:
+            return max(_SHORTEST_DRAIN_S, now - self.changed_at)
+        if self.needs_report:
+            return max(_ANSWER_S, now - self.blocked_since)
+        return _ANSWER_S if self.in_order else 0
+
     def _adopt(self, holdings: Holdings) -> None:
         now = self._clock.monotonic()
         for model in holdings.models:
--- a/cassiarail/edge/fleet_demand.py
+++ b/cassiarail/edge/fleet_demand.py
@@ -33,6 +33,7 @@
         self._clock = clock
         self._reports: dict[str, _Report] = {}
         self._asked_at: dict[tuple[str, Want], float] = {}
+        self._objectives: dict[tuple[str, str], float] = {}
         self._begun_at = clock.monotonic()
 
     def take(self, digest: Digest) -> None:
@@ -45,16 +46,26 @@
             if row.asked or row.waiting:
                 want = Want(row.model, row.adapter)
                 self._asked_at[(row.service, want)] = now
+            if row.asked:
+                self._objectives[(row.service, row.model)] = row.objective_s
 
     def of_models(self, service: str) -> dict[str, ModelDemand]:
         """Return the demand for each model of a service."""
         now = self._clock.monotonic()
         counts: dict[str, collections.Counter[str]] = {}
+        shortest: dict[str, float] = {}
         for row in self._rows(service):
             count = counts.setdefault(row.model, collections.Counter())
             count['asked'] += row.asked
-            count['in_flight'] += row.in_flight
+            count['in_flight'] += max(0, row.in_flight - row.waiting)
             count['waiting'] += row.waiting + row.refused
+            if row.adapter:
+                count['adapter'] += row.asked
+            if row.asked:
+                shortest[row.model] = min(
+                    row.objective_s,
+                    shortest.get(row.model, row.objective_s),
+                )
         idle: dict[str, float] = {}
         adapters: collections.Counter[str] = collections.Counter()
         for (each, want), asked_at in self._asked_at.items():
@@ -71,12 +82,16 @@
                 counts.get(model, _NONE)['waiting'],
                 idle_s,
                 adapters[model],
+                counts.get(model, _NONE)['adapter'] / _DEMAND_WINDOW_S,
+                shortest.get(model, self._objectives.get((service, model), 0)),
             )
             for model, idle_s in idle.items()
         }
 
     def unasked_s(self) -> float:
         """Return how long demand has been known; models age from there."""
+        if not self._asked_at:
+            return 0
         return self._clock.monotonic() - self._begun_at
 
     def waiting_adapters(self, service: str) -> dict[tuple[str, str], int]:
@@ -127,6 +142,7 @@
                 each.in_flight,
                 waiting.get(key, 0),
                 each.refused,
+                each.objective_s,
             ),
         )
     return rows
--- a/cassiarail/edge/forwarding.py
+++ b/cassiarail/edge/forwarding.py
@@ -33,6 +33,8 @@
 # Sends of one request that targets may turn away as not run.
 _MAX_SENDS = 4
 _RETRY_SOON_S = 0.3
+# A lost target is noticed and its models are loaded elsewhere in this time.
+_RETRY_LOST_S = 1.2
 # A host without a configuration asks for it several times a second.
 _RETRY_UNCONFIGURED_S = 1.0
 # Left for the way to the target and back when a wait is planned.
@@ -98,7 +100,11 @@
                 Refusal(http.HTTPStatus.BAD_REQUEST, error.message),
             )
             return
-        with self._parts.demand.track(job.service.name, job.request.want):
+        with self._parts.demand.track(
+            job.service.name,
+            job.request.want,
+            job.route.objective_s,
+        ):
             await self._serve(job)
 
     def _admit(self, exchange: Exchange) -> Job:
@@ -190,7 +196,7 @@
 
     async def _attempt(self, job: Job, target: Target) -> AttemptResult:
         job.tried.append(target)
-        job.may_switch = lambda: self._parts.selector.choose(job) is not None
+        job.may_switch = lambda: self._parts.selector.can_switch(job)
         ended = await self._parts.runner.run(job, target)
         job.attempts.append(ended)
         self._parts.metrics.count_attempt(ended.outcome.value)
@@ -263,6 +269,13 @@
                 'no target is known',
                 _RETRY_SOON_S,
             )
+        if self._parts.selector.are_lost(job):
+            self._parts.demand.note_refused(service.name, want)
+            raise Refusal(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                'the targets that hold the model are out of reach',
+                _RETRY_LOST_S,
+            )
         expected_s = self._expect(service.engine, service.name, want)
         if expected_s > limit_s:
             self._parts.demand.note_refused(service.name, want)
--- a/cassiarail/edge/holder.py
+++ b/cassiarail/edge/holder.py
@@ -1,6 +1,7 @@
 """Plan for the engines and give them orders, while the lease is held."""
 
 import asyncio
+import collections
 from collections.abc import Callable, Coroutine
 from typing import NamedTuple
 
@@ -25,6 +26,7 @@
     Step,
 )
 from cassiarail.placement.ondemand import plan_steps
+from cassiarail.routing.reach import ReachTracker
 
 _TICK_S = 0.1
 # A report is read if an engine's entry doesn't show the end of a load or an
@@ -41,6 +43,7 @@
     configuration: ConfigurationInForce
     demand: FleetDemand
     budget: LoadBudget
+    reach: ReachTracker
     announce: Callable[[], None]
 
 
@@ -214,12 +217,20 @@
                 )
                 for record in self._records
                 if record.target.service == service
+                and not self._parts.reach.is_lost(record.target.identity)
             ),
             models=describe_models(engine),
             demand=demand.of_models(service),
             adapter_waiting=demand.waiting_adapters(service),
             store_loads=self._parts.budget.left(engine.loads_per_s),
             known_s=demand.unasked_s(),
+            popular=collections.Counter(
+                model
+                for record in self._records
+                if record.target.service == service
+                for model in record.first_held
+            ),
+            may_evict_ahead=self._parts.tenure.fence == 1,
         )
 
 
--- a/cassiarail/edge/messages.py
+++ b/cassiarail/edge/messages.py
@@ -19,6 +19,7 @@
     in_flight: int
     waiting: int
     refused: int
+    objective_s: float = 0
 
 
 class LossRow(msgspec.Struct, array_like=True):
--- a/cassiarail/edge/orders.py
+++ b/cassiarail/edge/orders.py
@@ -112,6 +112,7 @@
             load=step.is_load,
             model=step.model,
             adapter=step.adapter,
+            intended=step.intended,
             from_store=step.is_store_load,
             orders=record.holdings.order_count,
             status=reply.status,
@@ -153,7 +154,7 @@
         return True
 
     def _doubt(self, record: EngineRecord, order: Order, reason: str) -> None:
-        record.needs_report = True
+        record.ask_report()
         emit_event(
             ORDER_FAILED,
             target=record.target.instance,
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -29,6 +29,7 @@
 from cassiarail.limits.shared_budget import BudgetRules
 from cassiarail.routing.earliest import EarliestChoice
 from cassiarail.routing.outliers import OutlierDetector, OutlierRules
+from cassiarail.routing.reach import ReachTracker
 from cassiarail.store.backends.base import ObjectStore
 from cassiarail.store.guard import Checkable
 from cassiarail.telemetry.lines import LineWriter
@@ -77,6 +78,7 @@
         self._lines = lines
         self._in_force = ConfigurationInForce()
         self._directory = TargetDirectory(self._clock.monotonic)
+        self._reach = ReachTracker(self._clock)
         self._control = ControlParts(
             ControlBase(
                 settings,
@@ -84,6 +86,7 @@
                 links.store,
                 self._in_force,
                 self._directory,
+                self._reach,
             ),
             self._clock,
             self._generator,
@@ -123,6 +126,7 @@
             self._directory,
             self._choice,
             self._outliers,
+            self._reach,
             self._settings['data_centre'],
         )
         self._forwarder = Forwarder(
@@ -134,6 +138,7 @@
                     self._pool,
                     self._links.dialect,
                     self._choice,
+                    self._reach,
                 ),
                 outliers=self._outliers,
                 waits=self._control.waits,
@@ -210,6 +215,7 @@
         instances = frozenset(target.instance for target in self._directory)
         self._choice.retain(instances)
         self._outliers.retain(instances)
+        self._reach.retain(target.identity for target in self._directory)
         self._control.waits.wake()
         self._control.holder.wake()
 
--- a/cassiarail/edge/selection.py
+++ b/cassiarail/edge/selection.py
@@ -7,6 +7,7 @@
 from cassiarail.edge.targets import Target, TargetDirectory, Want
 from cassiarail.routing.earliest import Candidate, EarliestChoice
 from cassiarail.routing.outliers import OutlierDetector
+from cassiarail.routing.reach import ReachTracker
 
 # A target's word that it doesn't hold something is believed for this long,
 # unless it accepts another order before.
@@ -31,11 +32,13 @@
         directory: TargetDirectory,
         choice: EarliestChoice,
         outliers: OutlierDetector,
+        reach: ReachTracker,
         data_centre: str,
     ) -> None:
         self._directory = directory
         self._choice = choice
         self._outliers = outliers
+        self._reach = reach
         self._data_centre = data_centre
         self._absent: dict[_AbsenceKey, _Absence] = {}
 
@@ -46,6 +49,7 @@
             target
             for target in self.list_usable(job.service.name, job.request.want)
             if target.identity not in tried
+            and self._reach.may_try(target.identity)
         ]
         sound = [
             target
@@ -57,7 +61,27 @@
             [self._describe(target) for target in named.values()],
             asyncio.get_running_loop().time(),
         )
-        return named[chosen.instance] if chosen else None
+        if chosen is None:
+            return None
+        target = named[chosen.instance]
+        self._reach.begin_probe(target.identity)
+        return target
+
+    def can_switch(self, job: Job) -> bool:
+        """Tell whether another target could take a request over."""
+        tried = {target.identity for target in job.tried}
+        return any(
+            target.identity not in tried
+            and not self._reach.is_lost(target.identity)
+            for target in self.list_usable(job.service.name, job.request.want)
+        )
+
+    def are_lost(self, job: Job) -> bool:
+        """Tell whether targets hold what is needed, but none is in reach."""
+        usable = self.list_usable(job.service.name, job.request.want)
+        return bool(usable) and not any(
+            self._reach.may_try(target.identity) for target in usable
+        )
 
     def list_usable(self, service: str, want: Want | None) -> list[Target]:
         """Return the targets that hold what a request needs."""
--- a/cassiarail/edge/tenure.py
+++ b/cassiarail/edge/tenure.py
@@ -145,6 +145,7 @@
 
     async def _attempt(self) -> None:
         rules = self._rules
+        self._lease.quiet_s = self._quiet_left_s()
         try:
             await self._lease.attempt()
         except StoreError as error:
@@ -172,6 +173,9 @@
         quiet_s = self._rules.quiet_s if self.fence > 1 else 0
         if self._lease.was_released:
             quiet_s = self._rules.between_s if self.fence > 1 else 0
+        if self._lease.inherited_quiet_s is not None:
+            # The holder before was a process of this machine.
+            quiet_s = self._lease.inherited_quiet_s
         if self._resigned and self._resigned.fence != self.fence - 1:
             self._resigned = None
         self._orders_from = now + quiet_s
@@ -183,6 +187,11 @@
         )
         self._on_change(True)
 
+    def _quiet_left_s(self) -> float:
+        if not self._is_holder:
+            return self._rules.between_s
+        return max(0, self._orders_from - self._clock.monotonic())
+
     def _end(self, reason: str) -> None:
         self._is_holder = False
         self._resigned = None
--- a/cassiarail/placement/fleet.py
+++ b/cassiarail/placement/fleet.py
@@ -20,7 +20,12 @@
     """Describe the demand for a model over all hosts.
 
     ``asked_per_s`` is the recent rate, ``idle_s`` the time since the last
-    request, and ``adapters_asked`` counts the adapters asked for recently.
+    request, ``in_flight`` counts requests that engines run, ``waiting`` those
+    that wait for the model or were refused for lack of it, and
+    ``adapters_asked`` the adapters asked for recently.
+    ``adapter_per_s`` is the rate of requests that need an adapter.
+    ``objective_s`` is the shortest time within which recent requests wanted
+    their answer to begin.
     """
 
     asked_per_s: float = 0
@@ -28,6 +33,8 @@
     waiting: int = 0
     idle_s: float = 0
     adapters_asked: int = 0
+    adapter_per_s: float = 0
+    objective_s: float = 0
 
 
 class EngineState(NamedTuple):
@@ -75,7 +82,9 @@
 
     ``store_loads`` is how many loads from the weight store may begin now.
     ``known_s`` is how long demand has been known: a model that nobody asked
-    for has been idle for no longer than that.
+    for has been idle for no longer than that. ``popular`` counts the copies
+    that the engines held of each model before there was any demand.
+    ``may_evict_ahead`` is set until the first traffic of a deployment.
     """
 
     engines: tuple[EngineState, ...]
@@ -84,6 +93,8 @@
     adapter_waiting: Mapping[tuple[str, str], int]
     store_loads: int
     known_s: float = 0
+    popular: Mapping[str, int] = {}
+    may_evict_ahead: bool = False
 
 
 def find_load_time(model: ModelFacts, engine: EngineState) -> float:
--- /dev/null
+++ b/cassiarail/placement/swaps.py
@@ -0,0 +1,58 @@
+"""Make room on an engine for a model, and make the orders for that."""
+
+from collections.abc import Iterable
+
+from cassiarail.placement.fleet import (
+    EngineState,
+    ModelFacts,
+    Step,
+    find_load_time,
+)
+from cassiarail.placement.harm import HarmModel
+
+
+def choose_victims(
+    model: ModelFacts,
+    engine: EngineState,
+    candidates: Iterable[str],
+    harm: HarmModel,
+) -> tuple[tuple[str, ...] | None, float]:
+    """Return what has to leave for a model, and the harm of that.
+
+    The victims are ``None`` if the model doesn't fit in their place.
+    """
+    free = engine.capacity_bytes - harm.used_bytes(engine)
+    victims: list[str] = []
+    loss = float(0)
+    by_loss = sorted((harm.loss(name), name) for name in candidates)
+    for each_loss, name in by_loss:
+        if free >= model.weights_bytes:
+            break
+        victims.append(name)
+        loss += each_loss
+        free += harm.bytes_of(name, engine.held[name])
+    if free < model.weights_bytes:
+        return None, 0
+    return tuple(victims), loss
+
+
+def make_load(model: ModelFacts, engine: EngineState) -> Step:
+    """Return the order that loads a model."""
+    expected_s = find_load_time(model, engine)
+    return Step(
+        engine.name,
+        is_load=True,
+        model=model.name,
+        is_store_load=expected_s >= model.store_load_s,
+        expected_s=expected_s,
+    )
+
+
+def make_unload(engine: EngineState, victim: str, model: ModelFacts) -> Step:
+    """Return the order that makes room for a model."""
+    return Step(
+        engine.name,
+        is_load=False,
+        model=victim,
+        intended=model.name,
+    )
--- a/cassiarail/store/leases.py
+++ b/cassiarail/store/leases.py
@@ -9,7 +9,7 @@
 import random
 from typing import NamedTuple
 
-from typing_extensions import TypedDict
+from typing_extensions import NotRequired, TypedDict
 
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
@@ -28,11 +28,16 @@
 
 
 class LeaseDocument(TypedDict):
-    """Hold a lease; an empty holder means that it was released."""
+    """Hold a lease; an empty holder means that it was released.
+
+    ``holder`` names a machine and one of its processes. ``quiet_s`` is how
+    long the holder still had to keep quiet when it wrote the document.
+    """
 
     holder: str
     fence: int
     duration_s: float
+    quiet_s: NotRequired[float]
 
 
 class _Observation(NamedTuple):
@@ -54,13 +59,18 @@
         generator: random.Random,
         duration_s: float,
     ) -> None:
-        """Name the lease and the holder.
+        """Name the lease and the machine that holds it.
 
-        The holder gets a random suffix: a restarted process is another
-        holder. The writer's patience has to be shorter than the duration.
+        The holder is the machine with a random suffix for the process. A
+        machine runs one process at a time, so that the lease of an earlier
+        one on the same machine needn't lapse before it is taken over. The
+        writer's patience has to be shorter than the duration.
         """
         self.name = name
         self.holder = f'{holder}.{generator.getrandbits(_NONCE_BITS):08x}'
+        self.quiet_s = float(0)
+        self.inherited_quiet_s: float | None = None
+        self._machine = holder
         self._writer = writer
         self._clock = clock
         self._duration_s = duration_s
@@ -143,10 +153,19 @@
         document = found.document
         if document['holder'] == self.holder:
             await self._take(found, document['fence'])
+        elif self._is_of_this_machine(found):
+            self.was_released = False
+            self.inherited_quiet_s = document.get('quiet_s')
+            await self._take(found, document['fence'] + 1)
         elif self._has_lapsed(found):
             self.was_released = self._is_released(found)
+            self.inherited_quiet_s = None
             await self._take(found, document['fence'] + 1)
 
+    def _is_of_this_machine(self, found: StoredObject) -> bool:
+        machine, _separator, _process = found.document['holder'].rpartition('.')
+        return bool(machine == self._machine)
+
     def _has_lapsed(self, found: StoredObject) -> bool:
         if self._is_released(found):
             return True
@@ -169,6 +188,7 @@
             holder=self.holder,
             fence=fence,
             duration_s=self._duration_s,
+            quiet_s=self.quiet_s,
         )
         writer = self._writer
         if base is None:
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -32,6 +32,7 @@
 from cassiarail.platform.dialect import PlatformDialect
 from cassiarail.routing.earliest import EarliestChoice
 from cassiarail.routing.outliers import OutlierDetector
+from cassiarail.routing.reach import ReachTracker
 
 HOST = 'h.example'
 MODEL = Model('m', 10, 2, 1, 4.0, 0.8, 0.5)
@@ -87,6 +88,7 @@
             lambda _name: [each.instance for each in self.directory],
             lambda _name: True,
         )
+        self.reach = ReachTracker(self.clock)
         self.waits = PlacementWaits(lambda: None)
         self.suspects = CrashSuspects(self.clock)
         budgets = ServiceBudgets(
@@ -100,8 +102,10 @@
             ForwardingParts(
                 dialect,
                 self.in_force,
-                TargetSelector(self.directory, choice, self.outliers, 'dc'),
-                AttemptRunner(self.pool, dialect, choice),
+                TargetSelector(
+                    self.directory, choice, self.outliers, self.reach, 'dc'
+                ),
+                AttemptRunner(self.pool, dialect, choice, self.reach),
                 self.outliers,
                 self.waits,
                 DemandMeter(self.clock),
