--- a/cassiarail/placement/ondemand.py
+++ b/cassiarail/placement/ondemand.py
@@ -5,6 +5,7 @@
 can wait share the places that are left. Busy models get more copies.
 """
 
+import collections
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -30,6 +31,13 @@
 MIN_STAY_S = 4.0
 # A copy that served its requests and is idle may leave after this.
 _MIN_IDLE_STAY_S = 0.5
+# At most this share of the engines swaps models whose requests can wait, so
+# that others are free when demand moves to a model that can't.
+_PATIENT_SHARE = 0.34
+# What an engine that is busy keeps from others, in requests a second.
+_BUSY_HARM = 1.0
+# An unload waits for the runs of its model for about this long.
+_DRAIN_S = 1.5
 # Share of the requests for adapters that find theirs missing, as a guess.
 _ADAPTER_MISSES = 0.5
 
@@ -63,6 +71,15 @@
         self.store_loads = fleet.store_loads
         self._fleet = fleet
         self._used = taken
+        self._at_hand = collections.Counter(
+            name
+            for engine in fleet.engines
+            for name in engine.in_memory | engine.on_disk
+        )
+        self._patient_swaps = sum(
+            self._is_patient(engine.loading or engine.intended)
+            for engine in fleet.engines
+        )
 
     def plan(self) -> Iterator[Step]:
         """Finish swaps, bring missing models, then copies of busy ones."""
@@ -101,10 +118,11 @@
 
     def _place_model(self, model: ModelFacts) -> Iterator[Step]:
         ways = self._list_ways(model)
-        if not ways:
+        if not ways or self._must_wait(model):
             return
         best = min(ways, key=lambda way: way.cost)
         self._used.add(best.engine.name)
+        self._patient_swaps += self._is_patient(model.name)
         if best.engine.is_busy:
             # Waiting for that engine is quicker than loading elsewhere.
             return
@@ -120,10 +138,29 @@
             if engine.name in self._used or model.name in list_models(engine):
                 continue
             way = self._find_way(model, engine)
-            if way and (self.store_loads > 0 or not way.is_store_load):
+            if way and not (way.is_store_load and self._spares_store(model)):
                 ways.append(way)
         return ways
 
+    def _spares_store(self, model: ModelFacts) -> bool:
+        """Tell whether a model may not be loaded from the weight store.
+
+        Models that take turns stay on the disks that have them; otherwise
+        they would crowd the weights of all others out of all disks.
+        """
+        if self.store_loads <= 0:
+            return True
+        return self._is_patient(model.name) and self._at_hand[model.name] > 0
+
+    def _must_wait(self, model: ModelFacts) -> bool:
+        limit = max(1, int(_PATIENT_SHARE * len(self._fleet.engines)))
+        is_full = self._patient_swaps >= limit
+        return is_full and self._is_patient(model.name)
+
+    def _is_patient(self, name: str) -> bool:
+        facts = self._fleet.models.get(name)
+        return facts is not None and not self.harm.needs_residence(facts)
+
     def _make_step(
         self,
         model: ModelFacts,
@@ -145,10 +182,13 @@
         expected_s = find_load_time(model, engine)
         demand = self.harm.demand(model.name)
         delay_s = engine.free_in_s + expected_s
+        if any(self.harm.demand(name).in_flight for name in victims):
+            delay_s += _DRAIN_S
         return _Swap(
             loss
             + delay_s * (1 + demand.waiting + demand.asked_per_s)
-            + expected_s * self.harm.adapter_rate(engine) * _ADAPTER_MISSES,
+            + expected_s * self.harm.adapter_rate(engine) * _ADAPTER_MISSES
+            + expected_s * _BUSY_HARM,
             engine,
             victims,
             expected_s >= model.store_load_s,
