--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -1,19 +1,23 @@
 """Build what a host needs to give orders and to speak with other hosts."""
 
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 from cassiarail.conf.edge import EdgeSettings
 from cassiarail.conf.global_defaults import TARGET_CONNECT_TIMEOUT_S
 from cassiarail.core.clock import Clock
 from cassiarail.core.lifecycle import Component
+from cassiarail.edge.broadcast import Broadcaster
 from cassiarail.edge.configuration import ConfigurationInForce
 from cassiarail.edge.demand import DemandMeter
 from cassiarail.edge.dialect import Dialect
 from cassiarail.edge.fleet_demand import FleetDemand
 from cassiarail.edge.holder import HolderParts, OrderHolder
 from cassiarail.edge.hosts import HostRegistry
+from cassiarail.edge.ledger_feed import LedgerFeed
 from cassiarail.edge.orders import LoadBudget, OrderGiver
+from cassiarail.edge.peers import PeerLink
 from cassiarail.edge.presence import Presence, PresenceParts
 from cassiarail.edge.suspects import CrashSuspects
 from cassiarail.edge.targets import TargetDirectory
@@ -53,6 +57,9 @@
         generator: random.Random,
     ) -> None:
         self.suspects = CrashSuspects(clock)
+        # How long ago the store answered while the registry is followed, or
+        # negative; set when the watches are made.
+        self.store_contact_s: Callable[[], float] = lambda: -1
         self._base = base
         self._clock = clock
         self._generator = generator
@@ -72,21 +79,36 @@
         self.waits = PlacementWaits(lambda: self.presence.report_soon())
         self._hosts = HostRegistry(
             self._base.store,
-            (settings['name'], {'address': settings['peers']}),
+            (
+                settings['name'],
+                {
+                    'address': settings['peers'],
+                    'data_centre': settings['data_centre'],
+                },
+            ),
             lambda: self.holder.is_holder,
             clock,
             self._generator,
         )
+        link = PeerLink(Address.parse(settings['peers']))
+        self.feed = LedgerFeed(clock)
         self.presence = Presence(
             settings['name'],
-            Address.parse(settings['peers']),
+            link,
             PresenceParts(
                 self.meter,
                 self._fleet_demand,
                 self.suspects,
                 self._base.directory,
                 self.waits,
-                lambda: self._hosts.hosts,
+                Broadcaster(
+                    link,
+                    lambda: self._hosts.hosts,
+                    self._generator,
+                ),
+                self.feed,
+                lambda: self.store_contact_s(),
+                lambda: len(list(self._hosts.hosts)),
             ),
             clock,
         )
@@ -110,6 +132,7 @@
             clock,
             self._generator,
             _LEASE_S,
+            may_retake=True,
         )
         self._tenure = Tenure(
             self.lease,
@@ -138,7 +161,7 @@
         if has_begun:
             self._budget.begin(is_first=self._tenure.fence == 1)
             self.holder.begin()
-            self.presence.report(is_whole=True)
+            self.presence.begin_tenure()
         else:
             self.holder.end()
             self.presence.resign()
--- a/cassiarail/edge/engines.py
+++ b/cassiarail/edge/engines.py
@@ -29,7 +29,6 @@
     def __init__(self, target: Target, clock: Clock) -> None:
         self.target = target
         self.holdings = target.holdings
-        self.first_held = frozenset(target.holdings.models)
         self.loading: Want | None = None
         self.unloading: Want | None = None
         self.intended = ''
--- a/cassiarail/edge/fleet_demand.py
+++ b/cassiarail/edge/fleet_demand.py
@@ -16,7 +16,6 @@
 # Reports come twice a second; one that is older is of a host that is gone.
 _REPORT_LIFE_S = 2.0
 _DEMAND_WINDOW_S = 3.0
-_ADAPTER_MEMORY_S = 15.0
 
 
 class _Report(NamedTuple):
@@ -53,7 +52,7 @@
         """Return the demand for each model of a service."""
         now = self._clock.monotonic()
         counts: dict[str, collections.Counter[str]] = {}
-        shortest: dict[str, float] = {}
+        objectives = self._objectives_of(service)
         for row in self._rows(service):
             count = counts.setdefault(row.model, collections.Counter())
             count['asked'] += row.asked
@@ -61,33 +60,38 @@
             count['waiting'] += row.waiting + row.refused
             if row.adapter:
                 count['adapter'] += row.asked
-            if row.asked:
-                shortest[row.model] = min(
-                    row.objective_s,
-                    shortest.get(row.model, row.objective_s),
-                )
         idle: dict[str, float] = {}
-        adapters: collections.Counter[str] = collections.Counter()
         for (each, want), asked_at in self._asked_at.items():
             if each != service:
                 continue
             age = now - asked_at
             idle[want.model] = min(age, idle.get(want.model, age))
-            if want.adapter and age < _ADAPTER_MEMORY_S:
-                adapters[want.model] += 1
         return {
             model: ModelDemand(
                 counts.get(model, _NONE)['asked'] / _DEMAND_WINDOW_S,
                 counts.get(model, _NONE)['in_flight'],
                 counts.get(model, _NONE)['waiting'],
                 idle_s,
-                adapters[model],
                 counts.get(model, _NONE)['adapter'] / _DEMAND_WINDOW_S,
-                shortest.get(model, self._objectives.get((service, model), 0)),
+                objectives.get(model, 0),
             )
             for model, idle_s in idle.items()
         }
 
+    def _objectives_of(self, service: str) -> dict[str, float]:
+        """Return the shortest recent objective for each model, or the last."""
+        found = {
+            model: objective_s
+            for (each, model), objective_s in self._objectives.items()
+            if each == service
+        }
+        shortest: dict[str, float] = {}
+        for row in self._rows(service):
+            if row.asked:
+                known = shortest.get(row.model, row.objective_s)
+                shortest[row.model] = min(known, row.objective_s)
+        return {**found, **shortest}
+
     def unasked_s(self) -> float:
         """Return how long demand has been known; models age from there."""
         if not self._asked_at:
--- a/cassiarail/edge/following.py
+++ b/cassiarail/edge/following.py
@@ -37,7 +37,7 @@
         targets = [target for target in read if target is not None]
         for target in targets:
             self._log(target)
-        self._directory.replace_all(targets)
+        self._directory.replace_all(targets, listing.revision)
         self._on_change()
 
     def take_batch(self, batch: WatchBatch) -> None:
@@ -45,13 +45,13 @@
         for entry in batch.entries:
             target = self._read(entry)
             if target is None:
-                self._directory.remove(entry.name)
+                self._directory.remove(entry.name, entry.version)
             else:
                 self._log(target)
                 self._directory.put(target)
         for name in batch.deleted:
             emit_event(TARGET_LEAVING, target=name, reason='entry removed')
-            self._directory.remove(name)
+            self._directory.remove(name, batch.revision)
         self._on_change()
 
     def begin_return(self) -> None:
@@ -65,7 +65,7 @@
 
     def _read(self, entry: StoredObject) -> Target | None:
         try:
-            return self._dialect.decode_target(entry.name, entry.document)
+            target = self._dialect.decode_target(entry.name, entry.document)
         except RequestError as error:
             emit_event(
                 ENTRY_UNREADABLE,
@@ -74,6 +74,7 @@
                 error=error.message,
             )
             return None
+        return target._replace(revision=entry.version)
 
     def _log(self, target: Target) -> None:
         known = self._directory.get(target.instance)
--- a/cassiarail/edge/holder.py
+++ b/cassiarail/edge/holder.py
@@ -29,6 +29,9 @@
 from cassiarail.routing.reach import ReachTracker
 
 _TICK_S = 0.1
+# Traffic begins 12 s or more after the hosts are started for the first time
+# (the deployments' sheets).
+_LEAD_S = 11.0
 # A report is read if an engine's entry doesn't show the end of a load or an
 # unload this long after it was due.
 _LATE_S = 1.5
@@ -55,7 +58,9 @@
     def __init__(self, parts: HolderParts, clock: Clock) -> None:
         self._parts = parts
         self._clock = clock
+        self._begun_at = clock.monotonic()
         self._records = EngineRecords(clock)
+        self._first_held: dict[tuple[str, int], frozenset[str]] = {}
         self._work = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -124,7 +129,15 @@
 
     def _plan(self) -> None:
         now = self._clock.monotonic()
-        self._records.follow(self._list_engines())
+        engines = self._list_engines()
+        self._records.follow(engines)
+        self._first_held = {
+            engine.identity: self._first_held.get(
+                engine.identity,
+                frozenset(engine.holdings.models),
+            )
+            for engine in engines
+        }
         for record in self._records:
             record.check_late(now, _LATE_S)
             is_open = self._parts.tenure.may_order(record.target.instance)
@@ -205,6 +218,11 @@
             if service.engine is not None
         ]
 
+    def _lead_left_s(self) -> float:
+        if self._parts.tenure.fence > 1:
+            return 0
+        return max(0, self._begun_at + _LEAD_S - self._clock.monotonic())
+
     def _describe(self, service: str, engine: EngineType) -> Fleet:
         demand = self._parts.demand
         idle = demand.adapter_idle(service)
@@ -228,9 +246,9 @@
                 model
                 for record in self._records
                 if record.target.service == service
-                for model in record.first_held
+                for model in self._first_held.get(record.target.identity, ())
             ),
-            may_evict_ahead=self._parts.tenure.fence == 1,
+            lead_s=self._lead_left_s(),
         )
 
 
--- a/cassiarail/edge/hosts.py
+++ b/cassiarail/edge/hosts.py
@@ -10,6 +10,7 @@
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import StoreError, VersionConflictError
 from cassiarail.core.lifecycle import Component
+from cassiarail.edge.broadcast import Host
 from cassiarail.edge.events import HOST_ENTRY_UNREADABLE, HOST_NOT_REGISTERED
 from cassiarail.http1.pool import Address
 from cassiarail.store.backends.base import (
@@ -26,17 +27,17 @@
 
 
 class HostList(Follower):
-    """Hold the addresses of all registered hosts."""
+    """Hold all registered hosts."""
 
     def __init__(self) -> None:
-        self._addresses: dict[str, Address] = {}
+        self._hosts: dict[str, Host] = {}
 
-    def __iter__(self) -> Iterator[Address]:
-        return iter(self._addresses.values())
+    def __iter__(self) -> Iterator[Host]:
+        return iter(self._hosts.values())
 
     def take_listing(self, listing: Listing) -> None:
         """Take all hosts."""
-        self._addresses.clear()
+        self._hosts.clear()
         for entry in listing.entries:
             self._take(entry)
 
@@ -45,20 +46,23 @@
         for entry in batch.entries:
             self._take(entry)
         for name in batch.deleted:
-            self._addresses.pop(name, None)
+            self._hosts.pop(name, None)
 
     def _take(self, entry: StoredObject) -> None:
         document = entry.document
         try:
-            address = Address.parse(str(document['address']))
-        except (KeyError, TypeError, ValueError) as error:
+            host = Host(
+                Address.parse(str(document['address'])),
+                str(document['data_centre']),
+            )
+        except (LookupError, TypeError, ValueError) as error:
             emit_event(
                 HOST_ENTRY_UNREADABLE,
                 host=entry.name,
                 error=repr(error),
             )
             return
-        self._addresses[entry.name] = address
+        self._hosts[entry.name] = host
 
 
 class HostRegistry(Component):
--- a/cassiarail/edge/peers.py
+++ b/cassiarail/edge/peers.py
@@ -1,7 +1,7 @@
 """Exchange datagrams with the other hosts."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import cast
 
 import msgspec
@@ -17,14 +17,18 @@
 OnMessage = Callable[[Message, Address], None]
 
 
+def _ignore(_message: Message, _sender: Address) -> None:
+    """Drop a message that comes before there is a receiver."""
+
+
 class PeerLink(asyncio.DatagramProtocol):
     """Send and receive messages on one address."""
 
-    def __init__(self, address: Address, on_message: OnMessage) -> None:
+    def __init__(self, address: Address) -> None:
         self.address = address
+        self.on_message: OnMessage = _ignore
         self.sent_bytes = 0
         self._errors = 0
-        self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
 
     async def start(self) -> None:
@@ -43,8 +47,11 @@
 
     def send(self, message: Message, address: Address) -> None:
         """Send a message; it may be lost."""
+        self.send_datagram(encode_message(message), address)
+
+    def send_datagram(self, datagram: bytes, address: Address) -> None:
+        """Send an encoded message; it may be lost."""
         if self._transport is not None:
-            datagram = encode_message(message)
             self.sent_bytes += len(datagram)
             self._transport.sendto(datagram, (address.host, address.port))
 
@@ -63,7 +70,23 @@
         except msgspec.MsgspecError as error:
             emit_event(PEER_UNREADABLE, peer=str(sender), error=str(error))
             return
-        self._on_message(message, Address(str(sender[0]), int(sender[1])))
+        self.on_message(message, Address(str(sender[0]), int(sender[1])))
+
+    def pass_on(
+        self,
+        datagram: bytes,
+        addresses: Iterable[str],
+        sender: Address,
+    ) -> None:
+        """Send a message to others and take it."""
+        try:
+            receivers = [Address.parse(each) for each in addresses]
+        except ValueError as error:
+            emit_event(PEER_UNREADABLE, peer=str(sender), error=str(error))
+            return
+        for receiver in receivers:
+            self.send_datagram(datagram, receiver)
+        self.datagram_received(datagram, sender)
 
     def error_received(self, error: Exception) -> None:
         """Log an unreachable peer, and then each hundredth time.
--- a/cassiarail/edge/presence.py
+++ b/cassiarail/edge/presence.py
@@ -1,29 +1,42 @@
 """Tell the other hosts what this one knows and needs."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from cassiarail.core.clock import Clock
+from cassiarail.core.events import emit_event
 from cassiarail.core.lifecycle import Component
+from cassiarail.edge.broadcast import Broadcaster
+from cassiarail.edge.changes import ChangeLog
 from cassiarail.edge.demand import DemandMeter
+from cassiarail.edge.events import PEER_UNREADABLE
 from cassiarail.edge.fleet_demand import FleetDemand, list_rows
 from cassiarail.edge.holder import OrderHolder
+from cassiarail.edge.ledger_feed import LedgerFeed
 from cassiarail.edge.messages import (
     Digest,
     EngineRow,
+    ExpectedRow,
     Ledger,
     LossRow,
     Message,
+    Relay,
+    TargetRow,
 )
 from cassiarail.edge.peers import PeerLink
+from cassiarail.edge.rows import read_holdings, read_target
 from cassiarail.edge.suspects import CrashSuspects
-from cassiarail.edge.targets import Holdings, TargetDirectory
+from cassiarail.edge.targets import Target, TargetDirectory
 from cassiarail.edge.tenure import Tenure
 from cassiarail.edge.waiting import PlacementWaits
 from cassiarail.http1.pool import Address
 
 _REPORT_INTERVAL_S = 0.5
+# In a large fleet each host reports half as often, so that the link of the
+# order holder carries all reports.
+_LARGE_FLEET = 20
+_LARGE_FLEET_REPORTS = 2
 # Losses are repeated for this long, so that a lost datagram doesn't matter.
 _LOSSES_WITHIN_S = 10.0
 _MAX_LOSSES = 20
@@ -31,6 +44,8 @@
 _GATHER_S = 0.002
 # Rows of one datagram; more would not fit in one packet.
 _MAX_ROWS = 8
+# All rows are repeated after this long, a few at each report.
+_REPEAT_REPORTS = 20
 _HOLDER_SILENT_S = 2.0
 
 
@@ -43,14 +58,21 @@
 
 
 class PresenceParts(NamedTuple):
-    """Hold what a host reports from and to."""
+    """Hold what a host reports from and to.
+
+    ``store_contact_s`` tells how long ago the store answered, or is negative
+    while the registry isn't followed.
+    """
 
     meter: DemandMeter
     fleet_demand: FleetDemand
     suspects: CrashSuspects
     directory: TargetDirectory
     waits: PlacementWaits
-    list_hosts: Callable[[], Iterable[Address]]
+    broadcaster: Broadcaster
+    feed: LedgerFeed
+    store_contact_s: Callable[[], float]
+    count_hosts: Callable[[], int]
 
 
 class Presence(Component):
@@ -61,22 +83,29 @@
     def __init__(
         self,
         host: str,
-        address: Address,
+        link: PeerLink,
         parts: PresenceParts,
         clock: Clock,
     ) -> None:
         self.host_count = 0
         self.holder: OrderHolder | None = None
         self.tenure: Tenure | None = None
+        self.on_directory_change: Callable[[], None] = parts.waits.wake
         self._host = host
         self._parts = parts
         self._clock = clock
-        self._link = PeerLink(address, self.take_message)
+        self._link = link
+        link.on_message = self.take_message
+        self._changes = ChangeLog(
+            parts.directory,
+            self._is_holder,
+            self.report_soon,
+        )
         self._holder_address: Address | None = None
         self._holder_heard_at = float('-inf')
-        self._holder_fence = 0
         self._expected: dict[tuple[str, str], float] = {}
         self._is_urgent = False
+        self._reports = 0
         self._sent_rows: dict[str, _Sent] = {}
 
     async def start(self) -> None:
@@ -86,7 +115,14 @@
     async def run(self) -> None:
         """Report regularly until cancelled."""
         while True:
-            self.report(is_whole=True)
+            self._reports += 1
+            is_large = self.host_count > _LARGE_FLEET
+            if (
+                self._is_holder()
+                or not is_large
+                or not self._reports % _LARGE_FLEET_REPORTS
+            ):
+                self.report(is_regular=True)
             await self._clock.sleep(_REPORT_INTERVAL_S)
 
     async def stop(self) -> None:
@@ -100,26 +136,34 @@
             loop = asyncio.get_running_loop()
             loop.call_later(_GATHER_S, self.report)
 
-    def report(self, *, is_whole: bool = False) -> None:
-        """Send what has changed, or everything."""
+    def report(self, *, is_regular: bool = False) -> None:
+        """Send what has changed; regularly, also a part of the rest."""
         self._is_urgent = False
         digest = self._make_digest()
-        if self.holder is not None and self.holder.is_holder:
+        if self._is_holder():
             self._parts.fleet_demand.take(digest)
-            self.holder.wake()
-            self._send_ledger(is_whole=is_whole)
+            self._wake_holder()
+            self._send_ledgers(is_regular=is_regular)
         elif self._holder_address is not None:
             self._link.send(digest, self._holder_address)
 
+    def begin_tenure(self) -> None:
+        """Tell all hosts everything; this one gives orders from now on."""
+        self._parts.broadcaster.begin()
+        self._sent_rows.clear()
+        self._changes.note_all()
+        self.report()
+
     def resign(self) -> None:
         """Tell the hosts that this one gives no more orders."""
         if self.holder is None or self.tenure is None:
             return
         rows = self.holder.list_rows()
-        ledger = self._make_ledger(rows, is_last=True)
-        self._broadcast(ledger)
         # Datagrams may be lost; a second copy makes that rare.
-        self._broadcast(ledger)
+        for ledger in (self._make_ledger(rows), self._make_ledger(rows)):
+            ledger.is_last = True
+            ledger.contact_s = -1
+            self._parts.broadcaster.send(ledger)
 
     def seconds_until(self, service: str, model: str) -> float | None:
         """Return when a model that is being loaded will be ready."""
@@ -130,29 +174,44 @@
 
     def has_holder(self) -> bool:
         """Tell whether some host gives orders."""
-        if self.holder is not None and self.holder.is_holder:
+        if self._is_holder():
             return True
         age = self._clock.monotonic() - self._holder_heard_at
         return age < _HOLDER_SILENT_S
 
     def take_message(self, message: Message, sender: Address) -> None:
         """Take a message of another host."""
+        if isinstance(message, Relay):
+            self._link.pass_on(message.datagram, message.addresses, sender)
+            return
         for loss in message.losses:
             self._parts.suspects.record(
                 loss.fingerprint,
                 (loss.instance, loss.born_ms),
             )
         if isinstance(message, Digest):
-            self._parts.fleet_demand.take(message)
-            if self.holder is not None:
-                self.holder.wake()
+            self._take_digest(message, sender)
         else:
-            self._take_ledger(message, sender)
+            self._take_ledger(message)
 
-    def _take_ledger(self, ledger: Ledger, sender: Address) -> None:
-        if ledger.fence < self._holder_fence or ledger.host == self._host:
+    def _take_digest(self, digest: Digest, sender: Address) -> None:
+        self._parts.fleet_demand.take(digest)
+        self._wake_holder()
+        fence = self.tenure.fence if self.tenure else 0
+        if not (self._is_holder() and digest.is_behind):
+            return
+        heard = digest.heard if digest.fence == fence else 0
+        if not self._parts.broadcaster.resend(heard, sender):
+            # The host's own watch shows the targets; only the ledgers tell
+            # which adapters engines hold.
+            self._sent_rows.clear()
+
+    def _take_ledger(self, ledger: Ledger) -> None:
+        feed = self._parts.feed
+        if ledger.fence < feed.fence or ledger.host == self._host:
             return
-        self._holder_fence = ledger.fence
+        was_behind = feed.is_behind
+        feed.take(ledger)
         self.host_count = max(self.host_count, ledger.hosts)
         if self.tenure is not None:
             if ledger.is_last:
@@ -162,82 +221,103 @@
                 )
             else:
                 self.tenure.hear_holder()
-        self._holder_address = sender
+        self._holder_address = Address.parse(ledger.address)
+        self._holder_heard_at = self._clock.monotonic()
+        self._set_expected(ledger.expected)
+        self._take_rows(ledger)
+        if feed.is_behind and not was_behind:
+            self.report_soon()
+
+    def _take_rows(self, ledger: Ledger) -> None:
+        directory = self._parts.directory
         for identity in ledger.leaving:
-            self._parts.directory.learn_leaving(identity)
-        now = self._clock.monotonic()
-        self._holder_heard_at = now
-        self._expected = {
-            (row.service, row.model): now + row.ready_in_s
-            for row in ledger.expected
-        }
+            directory.learn_leaving(identity)
+        for target in _read_targets(ledger.targets):
+            directory.put(target)
+        for gone in ledger.gone:
+            directory.drop(gone.instance, gone.revision)
         for row in ledger.engines:
-            self._parts.directory.learn_holdings(
+            directory.learn_holdings(
                 (row.instance, row.born_ms),
-                _read_holdings(row),
+                read_holdings(row),
             )
-        if ledger.engines:
+        if ledger.targets or ledger.gone:
+            self.on_directory_change()
+        elif ledger.engines:
             self._parts.waits.wake()
 
     def _make_digest(self) -> Digest:
+        feed = self._parts.feed
         return Digest(
             self._host,
             list_rows(self._parts.meter.measure(), self._parts.waits),
             self._list_losses(),
+            feed.fence,
+            feed.heard,
+            feed.is_behind,
         )
 
-    def _send_ledger(self, *, is_whole: bool) -> None:
+    def _send_ledgers(self, *, is_regular: bool) -> None:
         if self.holder is None:
             return
-        rows = self.holder.list_rows()
-        if not is_whole:
-            rows = [
-                row
-                for row in rows
-                if self._sent_rows.get(row.instance) != _drop_age(row)
-            ]
-        self._sent_rows.update(
-            {row.instance: _drop_age(row) for row in rows},
-        )
-        self._note_expected()
-        for begin in range(0, max(1, len(rows)), _MAX_ROWS):
-            part = rows[begin : begin + _MAX_ROWS]
-            self._broadcast(self._make_ledger(part))
-        self._parts.waits.wake()
-
-    def _note_expected(self) -> None:
-        if self.holder is None:
+        engines = list(self._choose_engines(self.holder, is_regular=is_regular))
+        targets, gone = self._changes.take()
+        self._set_expected(self.holder.list_expected())
+        longest = max(len(engines), len(targets), len(gone))
+        if not longest and not is_regular:
             return
-        now = self._clock.monotonic()
-        self._expected = {
-            (row.service, row.model): now + row.ready_in_s
-            for row in self.holder.list_expected()
-        }
+        for begin in range(0, max(1, longest), _MAX_ROWS):
+            part = slice(begin, begin + _MAX_ROWS)
+            ledger = self._make_ledger(engines[part])
+            ledger.targets = targets[part]
+            ledger.gone = gone[part]
+            self._parts.broadcaster.send(ledger)
+        self._parts.waits.wake()
 
-    def _make_ledger(
+    def _choose_engines(
         self,
-        rows: list[EngineRow],
+        holder: OrderHolder,
         *,
-        is_last: bool = False,
-    ) -> Ledger:
+        is_regular: bool,
+    ) -> Iterator[EngineRow]:
+        """Yield the engines that changed, and regularly some others."""
+        turn = self._reports % _REPEAT_REPORTS
+        for index, row in enumerate(holder.list_rows()):
+            sent = _Sent(row.born_ms, row.order_count, row.models)
+            is_due = is_regular and index % _REPEAT_REPORTS == turn
+            if is_due or self._sent_rows.get(row.instance) != sent:
+                self._sent_rows[row.instance] = sent
+                yield row
+
+    def _make_ledger(self, rows: list[EngineRow]) -> Ledger:
         holder = self.holder
-        hosts = list(self._parts.list_hosts())
-        self.host_count = max(self.host_count, len(hosts))
+        hosts = self._parts.count_hosts()
+        self.host_count = max(self.host_count, hosts)
         return Ledger(
             self._host,
+            str(self._link.address),
             self.tenure.fence if self.tenure else 0,
-            len(hosts),
+            0,
+            self._parts.store_contact_s(),
+            hosts,
             rows,
             holder.list_expected() if holder else [],
             self._list_losses(),
             self._parts.directory.list_leaving(),
-            is_last,
         )
 
-    def _broadcast(self, ledger: Ledger) -> None:
-        for address in self._parts.list_hosts():
-            if address != self._link.address:
-                self._link.send(ledger, address)
+    def _set_expected(self, rows: Iterable[ExpectedRow]) -> None:
+        now = self._clock.monotonic()
+        self._expected = {
+            (row.service, row.model): now + row.ready_in_s for row in rows
+        }
+
+    def _is_holder(self) -> bool:
+        return self.holder is not None and self.holder.is_holder
+
+    def _wake_holder(self) -> None:
+        if self.holder is not None:
+            self.holder.wake()
 
     def _list_losses(self) -> list[LossRow]:
         recent = self._parts.suspects.list_recent(_LOSSES_WITHIN_S)
@@ -247,12 +327,9 @@
         ]
 
 
-def _read_holdings(row: EngineRow) -> Holdings:
-    return Holdings(
-        {model: frozenset(names) for model, names in row.models.items()},
-        order_count=row.order_count,
-    )
-
-
-def _drop_age(row: EngineRow) -> _Sent:
-    return _Sent(row.born_ms, row.order_count, row.models)
+def _read_targets(rows: Iterable[TargetRow]) -> Iterator[Target]:
+    for row in rows:
+        try:
+            yield read_target(row)
+        except ValueError as error:
+            emit_event(PEER_UNREADABLE, peer=row.address, error=str(error))
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -31,7 +31,11 @@
 from cassiarail.routing.outliers import OutlierDetector, OutlierRules
 from cassiarail.routing.reach import ReachTracker
 from cassiarail.store.backends.base import ObjectStore
-from cassiarail.store.guard import Checkable
+from cassiarail.store.guard import (
+    CHECK_INTERVAL_S,
+    HOLDER_CHECK_INTERVAL_S,
+    Checkable,
+)
 from cassiarail.telemetry.lines import LineWriter
 
 # Requests that are still in progress at this share of the time to stop are
@@ -44,6 +48,9 @@
 # has to show a target that leaves well within the bound of 2 s.
 _HOLDER_PAUSE_S = 0.05
 _PAUSE_S = 0.9
+# The store keeps changes for 20 s; a watch that begins later lists anew.
+_LONGEST_PAUSE_S = 12.0
+_FEED_CHECK_S = 0.2
 # Failures in a row that eject a target, and for how long. At most half of a
 # service's targets are ejected.
 _EJECTION_S = 2.0
@@ -178,8 +185,14 @@
             ),
             clock,
             self._generator,
-            WatchHooks(self._target_pause, self._control.lease.observe),
+            WatchHooks(
+                self._pause_targets,
+                self._control.lease.observe,
+                self._check_interval_s,
+            ),
         )
+        self._control.store_contact_s = self._watches.contact_s
+        self._control.presence.on_directory_change = self._take_directory_change
 
     def _components(self, path: pathlib.Path) -> list[Component]:
         readiness = self._settings['readiness']
@@ -227,10 +240,26 @@
             each.instance for each in self._directory.of_service(target.service)
         ]
 
-    def _target_pause(self) -> float:
+    async def _pause_targets(self) -> None:
+        """Gather changes; rely on the holder's ledgers while they come."""
+        holder = self._control.holder
+        self._control.feed.note_own_call()
+        if holder.is_holder:
+            await self._clock.sleep(_HOLDER_PAUSE_S)
+            return
+        until = self._clock.monotonic() + _LONGEST_PAUSE_S
+        await self._clock.sleep(_PAUSE_S)
+        while (
+            self._control.feed.is_current()
+            and not holder.is_holder
+            and self._clock.monotonic() < until
+        ):
+            await self._clock.sleep(_FEED_CHECK_S)
+
+    def _check_interval_s(self) -> float:
         if self._control.holder.is_holder:
-            return _HOLDER_PAUSE_S
-        return _PAUSE_S
+            return HOLDER_CHECK_INTERVAL_S
+        return CHECK_INTERVAL_S
 
     def _may_spare(self, _instance: str) -> bool:
         # Ejected targets are still used where no other holds a model.
--- /dev/null
+++ b/cassiarail/edge/rows.py
@@ -0,0 +1,56 @@
+"""Turn targets and holdings into rows of ledgers, and back."""
+
+from cassiarail.edge.messages import EngineRow, TargetRow
+from cassiarail.edge.targets import Holdings, Target
+from cassiarail.http1.pool import Address
+
+
+def describe_target(target: Target) -> TargetRow:
+    """Return the row of an entry of the registry."""
+    return TargetRow(
+        target.instance,
+        target.revision,
+        target.born_ms,
+        target.service,
+        str(target.address),
+        target.data_centre,
+        target.slots,
+        target.is_leaving,
+        _list_models(target.holdings),
+        sorted(target.holdings.in_memory),
+        sorted(target.holdings.on_disk),
+    )
+
+
+def read_target(row: TargetRow) -> Target:
+    """Return the entry of a row; raise ``ValueError`` for a bad address."""
+    return Target(
+        row.instance,
+        row.born_ms,
+        row.service,
+        Address.parse(row.address),
+        row.data_centre,
+        row.slots,
+        row.is_leaving,
+        Holdings(
+            _read_models(row.models),
+            frozenset(row.in_memory),
+            frozenset(row.on_disk),
+        ),
+        row.revision,
+    )
+
+
+def read_holdings(row: EngineRow) -> Holdings:
+    """Return what an engine holds, as its row tells."""
+    return Holdings(_read_models(row.models), order_count=row.order_count)
+
+
+def _list_models(holdings: Holdings) -> dict[str, list[str]]:
+    return {
+        model: sorted(adapters) for model, adapters in holdings.models.items()
+    }
+
+
+def _read_models(models: dict[str, list[str]]) -> dict[str, frozenset[str]]:
+    return {model: frozenset(names) for model, names in models.items()}
--- a/cassiarail/edge/targets.py
+++ b/cassiarail/edge/targets.py
@@ -57,6 +57,7 @@
     """Describe one start of a target.
 
     ``born_ms`` tells two starts under one instance name apart.
+    ``revision`` is that of the entry in the registry, 0 if unknown.
     """
 
     instance: str
@@ -67,6 +68,7 @@
     slots: int
     is_leaving: bool = False
     holdings: Holdings = NOTHING_HELD
+    revision: int = 0
 
     @property
     def identity(self) -> tuple[str, int]:
@@ -74,6 +76,14 @@
         return (self.instance, self.born_ms)
 
 
+def _ignore_target(_target: Target) -> None:
+    """Take no notice of a changed entry."""
+
+
+def _ignore_removal(_instance: str, _revision: int) -> None:
+    """Take no notice of a removed entry."""
+
+
 class TargetDirectory:
     """Hold the targets that the registry lists.
 
@@ -82,7 +92,11 @@
     """
 
     def __init__(self, now: Callable[[], float]) -> None:
+        """Call ``on_put`` and ``on_gone`` as entries change."""
         self.version = 0
+        self.on_put: Callable[[Target], None] = _ignore_target
+        self.on_gone: Callable[[str, int], None] = _ignore_removal
+        self._gone_at: dict[str, int] = {}
         self._now = now
         self._targets: dict[str, Target] = {}
         self._entries: dict[str, Target] = {}
@@ -113,41 +127,80 @@
         """Keep missing targets for a while; the registry has returned."""
         self._patient_until = self._now() + RETURN_PATIENCE_S
 
-    def replace_all(self, targets: Iterable[Target]) -> None:
-        """Take a whole listing."""
+    def replace_all(
+        self,
+        targets: Iterable[Target],
+        revision: int = 0,
+    ) -> None:
+        """Take a whole listing of a revision of the registry."""
         listed = {target.instance: target for target in targets}
         for instance in list(self._targets):
             if instance not in listed:
-                self.remove(instance)
+                self.remove(instance, revision)
         for target in listed.values():
             self.put(target)
 
     def put(self, target: Target) -> None:
-        """Take the newest description of a target."""
+        """Take a description of a target, unless a newer one is known."""
+        if self._is_outdated(target.instance, target.revision):
+            return
         self._missing.pop(target.instance, None)
+        self._gone_at.pop(target.instance, None)
         if target.identity in self._leaving:
             target = target._replace(is_leaving=True)
         earlier = self._entries.get(target.instance)
         self._entries[target.instance] = target
+        if earlier != target:
+            self.on_put(target)
         if earlier and earlier.holdings.models != target.holdings.models:
             self._doubt(target)
         self._targets[target.instance] = self._combine(target)
         self.version += 1
 
-    def remove(self, instance: str) -> None:
-        """Forget a target, at once or at the end of the patience."""
+    def remove(self, instance: str, revision: int = 0) -> None:
+        """Forget a target, at once or at the end of the patience.
+
+        ``revision`` is that of the registry when the entry was gone.
+        """
         target = self._targets.get(instance)
-        if target is None:
+        if target is None or self._is_outdated(instance, revision):
             return
+        self._gone_at[instance] = max(revision, target.revision)
         if self._now() < self._patient_until and not target.is_leaving:
             self._missing.setdefault(instance, self._patient_until)
             return
+        self._forget(target)
+
+    def drop(self, instance: str, revision: int) -> None:
+        """Forget a target at once; the order holder has been patient."""
+        target = self._targets.get(instance)
+        if target is None or self._is_outdated(instance, revision):
+            return
+        self._gone_at[instance] = max(revision, target.revision)
+        self._forget(target)
+
+    def list_entries(self) -> list[Target]:
+        """Return all targets as the registry has them."""
+        return list(self._entries.values())
+
+    def _forget(self, target: Target) -> None:
+        instance = target.instance
         self._targets.pop(instance)
         self._entries.pop(instance, None)
         self._missing.pop(instance, None)
         self._told.pop(target.identity, None)
         self._leaving.discard(target.identity)
         self.version += 1
+        self.on_gone(instance, self._gone_at.get(instance, 0))
+
+    def _is_outdated(self, instance: str, revision: int) -> bool:
+        """Tell whether news of a revision are older than what is known."""
+        if not revision:
+            return False
+        if revision < self._gone_at.get(instance, 0):
+            return True
+        entry = self._entries.get(instance)
+        return entry is not None and revision < entry.revision
 
     def expire(self) -> list[str]:
         """Forget the targets that stayed missing; return their names."""
--- a/cassiarail/edge/watches.py
+++ b/cassiarail/edge/watches.py
@@ -1,7 +1,7 @@
 """Follow the store's kinds that others write."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import anyio
@@ -17,12 +17,14 @@
 class WatchHooks(NamedTuple):
     """Hold what the watches ask for and tell.
 
-    ``target_pause_s`` is how long changes of targets are gathered.
+    ``pause_targets`` is awaited after changes of targets.
     ``observe_lease`` is told the versions of the lease that were read.
+    ``check_interval_s`` is the time between checks of the store.
     """
 
-    target_pause_s: Callable[[], float]
+    pause_targets: Callable[[], Awaitable[None]]
     observe_lease: Callable[[int], None]
+    check_interval_s: Callable[[], float]
 
 
 class Watches(Component):
@@ -48,7 +50,7 @@
             targets,
             clock,
             generator,
-            hooks.target_pause_s,
+            hooks.pause_targets,
         )
         self._configuration = KindWatcher(
             store,
@@ -63,6 +65,7 @@
             clock,
             generator.random,
             hooks.observe_lease,
+            hooks.check_interval_s,
         )
 
     @property
@@ -70,6 +73,15 @@
         """Tell whether the targets were listed once."""
         return self._targets.has_listed
 
+    def contact_s(self) -> float:
+        """Return how long ago the store answered, or -1.
+
+        The figure is negative while the targets can't be followed.
+        """
+        if not self._targets.is_following:
+            return -1
+        return self._guard.contact_s()
+
     def reconnect(self) -> None:
         """Begin all waits anew; connections may have gone silent."""
         self._checkable.reconnect()
--- a/cassiarail/placement/fleet.py
+++ b/cassiarail/placement/fleet.py
@@ -21,8 +21,7 @@
 
     ``asked_per_s`` is the recent rate, ``idle_s`` the time since the last
     request, ``in_flight`` counts requests that engines run, ``waiting`` those
-    that wait for the model or were refused for lack of it, and
-    ``adapters_asked`` the adapters asked for recently.
+    that wait for the model or were refused for lack of it.
     ``adapter_per_s`` is the rate of requests that need an adapter.
     ``objective_s`` is the shortest time within which recent requests wanted
     their answer to begin.
@@ -32,7 +31,6 @@
     in_flight: int = 0
     waiting: int = 0
     idle_s: float = 0
-    adapters_asked: int = 0
     adapter_per_s: float = 0
     objective_s: float = 0
 
@@ -84,7 +82,7 @@
     ``known_s`` is how long demand has been known: a model that nobody asked
     for has been idle for no longer than that. ``popular`` counts the copies
     that the engines held of each model before there was any demand.
-    ``may_evict_ahead`` is set until the first traffic of a deployment.
+    ``lead_s`` is the time until the first traffic of a deployment.
     """
 
     engines: tuple[EngineState, ...]
@@ -94,7 +92,7 @@
     store_loads: int
     known_s: float = 0
     popular: Mapping[str, int] = {}
-    may_evict_ahead: bool = False
+    lead_s: float = 0
 
 
 def find_load_time(model: ModelFacts, engine: EngineState) -> float:
--- a/cassiarail/placement/seeding.py
+++ b/cassiarail/placement/seeding.py
@@ -26,6 +26,9 @@
 
 # Loads from the store that are left to models which requests wait for.
 _RESERVED_LOADS = 3
+# Bringing back what made room for a load takes two orders and this much more
+# than a load from disk.
+_RETURN_S = 0.5
 # Requests a second for adapters that a load may keep waiting.
 _QUIET_ADAPTERS_PER_S = 0.2
 
@@ -47,7 +50,9 @@
 ) -> Iterator[Step]:
     """Yield orders for engines that have nothing better to do."""
     planner = _SeedPlanner(fleet, harm, taken)
-    if not fleet.demand and fleet.may_evict_ahead:
+    if not fleet.demand and not planner.has_time:
+        yield from planner.restore()
+    if not fleet.demand:
         yield from planner.seed(store_loads, may_evict=True)
         yield from planner.restore()
     elif not any(each.waiting for each in fleet.demand.values()):
@@ -71,6 +76,11 @@
         self._harm = harm
         self._taken = taken
 
+    @property
+    def has_time(self) -> bool:
+        """Tell whether what makes room for a load can still be back."""
+        return any(map(self._can_return, self._fleet.models.values()))
+
     def seed(self, store_loads: int, *, may_evict: bool) -> Iterator[Step]:
         """Bring weights that no engine has at hand out of the store."""
         at_hand: set[str] = set()
@@ -90,7 +100,8 @@
     def restore(self) -> Iterator[Step]:
         """Bring back what the engines held when they were first seen."""
         popular = self._fleet.popular
-        for name in sorted(popular, key=lambda each: -popular[each]):
+        by_copies = sorted((-copies, name) for name, copies in popular.items())
+        for _copies, name in by_copies:
             model = self._fleet.models.get(name)
             if model and self._harm.copies[name] < popular[name]:
                 step = self._load(model, may_evict=True, only_at_hand=True)
@@ -112,6 +123,7 @@
         may_evict: bool,
         only_at_hand: bool = False,
     ) -> Step | None:
+        may_evict = may_evict and (only_at_hand or self._fleet.lead_s > 0)
         ways = [
             way
             for engine in self._fleet.engines
@@ -129,6 +141,11 @@
             return make_unload(best.engine, best.victims[0], model)
         return make_load(model, best.engine)
 
+    def _can_return(self, model: ModelFacts) -> bool:
+        """Tell whether what makes room is back before there is traffic."""
+        return_s = model.disk_load_s + _RETURN_S
+        return model.store_load_s + return_s < self._fleet.lead_s
+
     def _is_open(self, engine: EngineState) -> bool:
         if engine.is_busy or engine.intended or engine.name in self._taken:
             return False
@@ -153,9 +170,9 @@
     def _is_as_popular(self, name: str, other: str) -> bool:
         """Tell whether a model has to stay, rather than make room."""
         popular = self._fleet.popular
-        is_seeding = self._harm.is_missing(other) and other not in popular
-        if is_seeding:
-            return False
+        if self._harm.is_missing(other) and other not in popular:
+            facts = self._fleet.models[other]
+            return name in popular and not self._can_return(facts)
         if self._harm.copies[name] > popular.get(name, 0):
             return False
         return popular.get(name, 0) >= popular.get(other, 0)
--- a/cassiarail/store/guard.py
+++ b/cassiarail/store/guard.py
@@ -9,6 +9,8 @@
 from cassiarail.store.events import STORE_LOST, STORE_REGAINED
 from cassiarail.store.watching import KindWatcher
 
+# Others rely on the order holder to notice sooner that it is cut off.
+HOLDER_CHECK_INTERVAL_S = 0.4
 # A waiting watch may never hear of an outage. One cheap read a second finds
 # the end of an outage well within the bound on configuration (2 s).
 CHECK_INTERVAL_S = 1.0
@@ -40,11 +42,15 @@
         clock: Clock,
         jitter: Callable[[], float],
         observe: Callable[[int], None],
+        interval_s: Callable[[], float],
     ) -> None:
         """Hand versions of the lease to ``observe``.
 
-        ``jitter`` returns a number from 0 to 1.
+        ``jitter`` returns a number from 0 to 1, ``interval_s`` the time
+        between checks.
         """
+        self._interval_s = interval_s
+        self._contact_at = float('-inf')
         self._observe = observe
         self.is_reachable = True
         self._store = store
@@ -56,11 +62,16 @@
         """Check until cancelled."""
         while True:
             spread = 1 + self._jitter()
-            await self._clock.sleep(CHECK_INTERVAL_S * spread / 2)
+            await self._clock.sleep(self._interval_s() * spread / 2)
             await self.check_once()
 
+    def contact_s(self) -> float:
+        """Return how long ago a check that succeeded was begun."""
+        return self._clock.monotonic() - self._contact_at
+
     async def check_once(self) -> None:
         """Make one check and act on a change."""
+        begun_at = self._clock.monotonic()
         try:
             version = await self._store.check()
         except StoreError as error:
@@ -68,6 +79,7 @@
                 emit_event(STORE_LOST, error=error.message)
             self.is_reachable = False
             return
+        self._contact_at = begun_at
         if version is not None:
             self._observe(version)
         if not self.is_reachable:
--- a/cassiarail/store/leases.py
+++ b/cassiarail/store/leases.py
@@ -7,9 +7,9 @@
 """
 
 import random
-from typing import NamedTuple
+from typing import NamedTuple, NotRequired
 
-from typing_extensions import NotRequired, TypedDict
+from typing_extensions import TypedDict
 
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
@@ -58,19 +58,22 @@
         clock: Clock,
         generator: random.Random,
         duration_s: float,
+        *,
+        may_retake: bool = False,
     ) -> None:
-        """Name the lease and the machine that holds it.
+        """Name the lease and the holder.
 
-        The holder is the machine with a random suffix for the process. A
-        machine runs one process at a time, so that the lease of an earlier
-        one on the same machine needn't lapse before it is taken over. The
-        writer's patience has to be shorter than the duration.
+        The holder gets a random suffix: a restarted process is another
+        holder. With ``may_retake``, ``holder`` names a machine that runs one
+        process at a time; then the lease of an earlier one there needn't
+        lapse before it is taken over. The writer's patience has to be
+        shorter than the duration.
         """
         self.name = name
         self.holder = f'{holder}.{generator.getrandbits(_NONCE_BITS):08x}'
         self.quiet_s = float(0)
         self.inherited_quiet_s: float | None = None
-        self._machine = holder
+        self._machine = holder if may_retake else ''
         self._writer = writer
         self._clock = clock
         self._duration_s = duration_s
@@ -164,7 +167,7 @@
 
     def _is_of_this_machine(self, found: StoredObject) -> bool:
         machine, _separator, _process = found.document['holder'].rpartition('.')
-        return bool(machine == self._machine)
+        return bool(machine) and bool(machine == self._machine)
 
     def _has_lapsed(self, found: StoredObject) -> bool:
         if self._is_released(found):
--- a/cassiarail/store/watching.py
+++ b/cassiarail/store/watching.py
@@ -2,7 +2,7 @@
 
 import abc
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -38,8 +38,8 @@
         """Prepare for the first answer after an outage."""
 
 
-def _no_pause() -> float:
-    return 0
+async def _go_on() -> None:
+    """Watch again at once."""
 
 
 class KindWatcher:
@@ -52,11 +52,11 @@
         follower: Follower,
         clock: Clock,
         generator: random.Random,
-        pause_s: Callable[[], float] = _no_pause,
+        pause: Callable[[], Awaitable[None]] = _go_on,
     ) -> None:
-        """Wait ``pause_s`` after changes, so that one call brings several."""
+        """Await ``pause`` after changes, so that one call brings several."""
         self.kind = kind
-        self._pause_s = pause_s
+        self._pause = pause
         self.has_listed = False
         self._store = store
         self._follower = follower
@@ -81,6 +81,11 @@
             else:
                 self._note_success()
 
+    @property
+    def is_following(self) -> bool:
+        """Tell whether the last call to the object API succeeded."""
+        return self.has_listed and not self._failures
+
     def resume_after_outage(self) -> None:
         """Drop a wait that an outage may have left without an answer."""
         self._follower.begin_return()
@@ -102,7 +107,7 @@
         self._note_success()
         self._follower.take_batch(batch)
         self._revision = batch.revision
-        await self._clock.sleep(self._pause_s())
+        await self._pause()
 
     async def _wait_after(self, error: StoreError) -> None:
         if not self._failures:
--- a/tests/edge/test_forwarding.py
+++ b/tests/edge/test_forwarding.py
@@ -166,9 +166,13 @@
 )
 
 
-def play_stream(*texts, ends=True):
+def play_stream(*texts, ends=True, until=None):
+    """Return a script that answers once ``until`` is set."""
+
     async def script(server, reader, writer):
         await server.read_request(reader)
+        if until is not None:
+            await until.wait()
         writer.write(STREAM_HEAD)
         for text in texts:
             writer.write(chunk(text))
@@ -182,10 +186,14 @@
 def test_a_broken_stream_is_resumed_after_its_last_whole_event():
     # Pieces of two runs that are joined or lost break the stream (ORDER).
     async def main():
+        # The first engine breaks off once the second one is known; on a busy
+        # machine it did so before.
+        is_known = asyncio.Event()
         broken = ScriptedServer(
             play_stream(
                 b'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda',
                 ends=False,
+                until=is_known,
             ),
         )
         rest = ScriptedServer(play_stream(b'id: 3\ndata: c\n\n'))
@@ -195,6 +203,7 @@
             while not broken.received:
                 await asyncio.sleep(0.001)
             host.add(rest, 'i-1')
+            is_known.set()
             received = await asking
         assert received.count(b'id: 1\n') == 1
         assert received.count(b'id: 3\n') == 1
--- a/tests/edge/test_targets.py
+++ b/tests/edge/test_targets.py
@@ -108,3 +108,17 @@
     assert held.serves(Want('m', 'a1'))
     assert not held.serves(Want('m', 'a2'))
     assert not held.serves(Want('n', 'a1'))
+
+
+def test_older_news_of_an_entry_change_nothing():
+    # Ledgers and the own watch may bring versions in any order.
+    directory, _clock = make(TARGET._replace(revision=5))
+    directory.put(TARGET._replace(revision=4, slots=1))
+    assert directory.get('i').slots == TARGET.slots
+    directory.remove('i', 3)
+    assert directory.get('i')
+    directory.drop('i', 7)
+    directory.put(TARGET._replace(revision=6))
+    assert directory.get('i') is None
+    directory.put(TARGET._replace(revision=8))
+    assert directory.get('i')
--- a/tests/edge/test_tenure.py
+++ b/tests/edge/test_tenure.py
@@ -27,8 +27,8 @@
 class Member:
     """Hold a host's tenure and its path to the store."""
 
-    def __init__(self, name, clock, store):
-        generator = random.Random(name)
+    def __init__(self, name, clock, store, process=0):
+        generator = random.Random(f'{name}{process}')
         self.lease = Lease(
             ConditionalWriter(store, clock, generator, 1),
             'orders',
@@ -36,6 +36,7 @@
             clock,
             generator,
             RULES.lease_s,
+            may_retake=True,
         )
         self.heard = []
         self.tenure = Tenure(
@@ -56,6 +57,15 @@
             for number in range(HOSTS)
         ]
         self.orders = {}
+        self.restarts = 0
+
+    @rule(index=who)
+    def restart(self, index):
+        # A new process on the same machine may take its lease over at once.
+        self.restarts += 1
+        self.members[index] = Member(
+            f'h{index}', self.clock, self.store, self.restarts
+        )
 
     @rule(index=who)
     def compete(self, index):
@@ -144,6 +154,35 @@
     assert second.tenure.may_order('x')
 
 
+def test_a_restarted_process_retakes_the_lease_of_its_machine():
+    # After all processes were killed, no order was given for 5.3 s.
+    clock = ManualClock()
+    store = MemoryObjectStore()
+    first = Member('a', clock, store)
+    drive(first.tenure._attempt())
+    clock.advance(0.9)
+    drive(first.tenure._attempt())
+    again = Member('a', clock, store, process=1)
+    drive(again.tenure._attempt())
+    assert again.tenure.fence == 2
+    assert again.tenure.may_order('x')
+
+
+def test_a_restarted_process_keeps_the_quiet_time_of_the_one_before():
+    clock = ManualClock()
+    store = MemoryObjectStore()
+    other, first = Member('b', clock, store), Member('a', clock, store)
+    drive(other.tenure._attempt())
+    drive(first.tenure._attempt())
+    clock.advance(RULES.lease_s * 1.2)
+    drive(first.tenure._attempt())
+    assert first.tenure.is_held()
+    again = Member('a', clock, store, process=1)
+    drive(again.tenure._attempt())
+    assert again.tenure.is_held()
+    assert not again.tenure.may_order('x')
+
+
 def test_a_holder_that_stood_still_gives_no_orders():
     clock = ManualClock()
     member = Member('a', clock, MemoryObjectStore())
--- /dev/null
+++ b/tests/load/test_swap_fleet.py
@@ -0,0 +1,95 @@
+"""Guard what callers get when demand moves between models."""
+
+import pytest
+
+from cassiarail.load.swap_fleet import (
+    Phase,
+    Scenario,
+    SwapPlay,
+    plan_by_recency,
+)
+from cassiarail.placement.fleet import ModelFacts
+from cassiarail.placement.ondemand import plan_steps
+
+GB = 1_000_000_000
+SEEDS = range(5)
+HOT = [f'h{number}' for number in range(10)]
+RARE = [f'r{number}' for number in range(10)]
+
+
+def make_model(name, size_gb):
+    return ModelFacts(name, size_gb * GB, 0, 0, 4.0, 0.8, 0.6)
+
+
+MODELS = {
+    **{name: make_model(name, 72) for name in HOT},
+    **{name: make_model(name, 42 if name < 'r4' else 72) for name in RARE},
+}
+
+
+def make_phase(begin_s, hot):
+    """Return a phase in which four models get nearly all requests."""
+    shares = dict(zip(hot, (40, 15, 11, 9), strict=True))
+    return Phase(begin_s, {**dict.fromkeys(RARE, 0.5), **shares})
+
+
+SCENARIO = Scenario(
+    MODELS,
+    [
+        ('h0', 'h1'),
+        ('h0', 'h2'),
+        ('h0', 'h3'),
+        ('h1', 'h4'),
+        ('h5', 'r0'),
+        ('r1', 'r2'),
+    ],
+    [
+        make_phase(0, ('h0', 'h1', 'h2', 'h3')),
+        make_phase(10, ('h7', 'h2', 'h0', 'h9')),
+        make_phase(20, ('h4', 'h7', 'h6', 'h9')),
+    ],
+    {**dict.fromkeys(HOT, 0.5), **dict.fromkeys(RARE, 3.0)},
+    200 * GB,
+    32,
+    1.9,
+    30,
+)
+
+
+def play(plan, scenario=SCENARIO):
+    return [SwapPlay(scenario, plan, seed).run() for seed in SEEDS]
+
+
+def test_more_callers_are_on_time_than_by_recency():
+    # Rare models took the places of busy ones, which came back by the store.
+    ours = play(plan_steps)
+    others = play(plan_by_recency)
+    for own, other in zip(ours, others, strict=True):
+        assert own.attainment > other.attainment
+        assert own.refused < other.refused
+
+
+def test_seeding_before_traffic_spares_refusals():
+    # Each move of demand cost the seconds of a load from the weight store.
+    def plan_without_seeding(fleet):
+        return plan_steps(fleet._replace(lead_s=0))
+
+    seeded = sum(outcome.refused for outcome in play(plan_steps))
+    unseeded = sum(outcome.refused for outcome in play(plan_without_seeding))
+    assert seeded < unseeded
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_no_model_is_starved(seed):
+    # Models that take turns must not be kept out by busy ones.
+    assert not SwapPlay(SCENARIO, plan_steps, seed).run().unserved
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_steady_demand_does_not_move_models(seed):
+    # Models that callers use were swapped out and in again by turns.
+    steady = {'h0': 10.0, 'h1': 5.0, 'h2': 5.0, 'h3': 5.0}
+    scenario = SCENARIO._replace(phases=[Phase(0, steady)])
+    outcome = SwapPlay(scenario, plan_steps, seed).run()
+    assert outcome.refused == 0
+    assert outcome.late == 0
--- a/tests/placement/test_ondemand.py
+++ b/tests/placement/test_ondemand.py
@@ -171,20 +171,31 @@
         st.integers(0, 60),
         st.integers(0, 40),
         st.floats(0, 60),
-        st.integers(0, 9),
+        st.floats(0, 9),
+        st.floats(0, 5),
     ),
 )
 
 
-@given(st.lists(engines, min_size=1, max_size=4), demands, st.integers(0, 5))
-def test_no_order_overfills_an_engine(states, demand, store_loads):
+@given(
+    st.lists(engines, min_size=1, max_size=4),
+    demands,
+    st.integers(0, 5),
+    st.floats(0, 12),
+)
+def test_no_order_overfills_an_engine(states, demand, store_loads, lead_s):
     # An engine that is ordered beyond its memory crashes (LIMIT).
     states = [
         state._replace(name=f'e{number}') for number, state in enumerate(states)
     ]
     wanted = {(name, 'a1'): 1 for name in demand}
     fleet = make_fleet(
-        states, demand, store_loads=store_loads, adapter_waiting=wanted
+        states,
+        demand,
+        store_loads=store_loads,
+        adapter_waiting=wanted,
+        lead_s=lead_s,
+        popular={name: 1 for state in states for name in state.held},
     )
     steps = plan_steps(fleet)
     assert len({step.engine for step in steps}) == len(steps)
@@ -200,3 +211,72 @@
             used += MODELS[step.model].weights_bytes
             used += adapters * GB // 100
             assert used <= state.capacity_bytes
+
+
+RARE = ModelDemand(waiting=2, asked_per_s=0.5, objective_s=3)
+BUSY = ModelDemand(asked_per_s=20, in_flight=8, objective_s=0.5)
+
+
+def test_a_model_that_can_wait_never_evicts_the_last_copy_of_a_busy_one():
+    # Busy models were unloaded for rare ones and came back by the store.
+    engines = [make_engine('x', 'ab')]
+    demand = {'a': BUSY, 'b': BUSY, 'c': RARE}
+    assert not models_only(plan_steps(make_fleet(engines, demand)))
+
+
+def test_a_plan_does_not_wait_for_an_engine_that_drains_for_long():
+    # A model of 17 requests a second was missing for 20 s while its plan
+    # waited for an engine whose unload took long.
+    engines = [
+        make_engine('x', '', is_busy=True, free_in_s=6),
+        make_engine('y', 'a'),
+    ]
+    demand = {'b': ModelDemand(waiting=9, asked_per_s=17, objective_s=0.5)}
+    (step,) = models_only(plan_steps(make_fleet(engines, demand)))
+    assert (step.engine, step.model) == ('y', 'b')
+
+
+def test_models_that_take_turns_keep_to_the_disks_that_have_them():
+    # Rotating them over all engines crowded other weights out of all disks.
+    engines = [
+        make_engine('x', ''),
+        make_engine('y', 'ab', on_disk=frozenset('d'), is_busy=True),
+    ]
+    demand = {'d': RARE, 'a': BUSY}
+    assert not models_only(plan_steps(make_fleet(engines, demand)))
+
+
+def test_models_that_can_wait_leave_engines_free_for_those_that_cannot():
+    engines = [
+        make_engine('x', 'a', loading='d', is_busy=True, free_in_s=4),
+        make_engine('y', 'a'),
+        make_engine('z', 'b'),
+    ]
+    demand = {'d': RARE, 'e': RARE, 'a': BUSY, 'b': BUSY}
+    assert not models_only(plan_steps(make_fleet(engines, demand)))
+
+
+def test_weights_are_seeded_before_traffic_into_free_memory():
+    engines = [make_engine('x', 'ab'), make_engine('y', 'ac')]
+    fleet = make_fleet(engines, {}, popular={'a': 2, 'b': 1, 'c': 1})
+    steps = models_only(plan_steps(fleet))
+    assert {(step.is_load, step.model) for step in steps} == {
+        (True, 'd'),
+        (True, 'e'),
+    }
+
+
+def test_what_made_room_for_seeding_has_time_to_return():
+    # Traffic began while the models it asked for were still swapped out.
+    engine = make_engine('x', 'bc', on_disk=frozenset('de'))
+    popular = {'b': 1, 'c': 1}
+    early = make_fleet([engine], {}, popular=popular, lead_s=9)
+    late = make_fleet([engine], {}, popular=popular, lead_s=3)
+    assert [step.intended for step in plan_steps(early)] == ['a']
+    assert not plan_steps(late)
+
+
+def test_nothing_is_evicted_ahead_once_there_is_traffic():
+    engine = make_engine('x', 'bc')
+    fleet = make_fleet([engine], {'b': BUSY, 'c': IDLE}, lead_s=9)
+    assert all(step.is_load for step in plan_steps(fleet))
--- /dev/null
+++ b/tests/routing/test_reach.py
@@ -0,0 +1,68 @@
+"""Guard that requests don't pile up at targets that went dark."""
+
+from cassiarail.core.clock import ManualClock
+from cassiarail.routing.reach import SILENT_S, ReachTracker
+
+
+def make():
+    clock = ManualClock()
+    return ReachTracker(clock), clock
+
+
+def test_a_target_that_answers_is_never_lost():
+    reach, clock = make()
+    reach.begin('t')
+    for _event in range(20):
+        clock.advance(SILENT_S / 2)
+        reach.hear('t')
+        assert not reach.is_lost('t')
+
+
+def test_an_idle_target_is_not_silent():
+    # Silence means nothing while no request is outstanding.
+    reach, clock = make()
+    reach.begin('t')
+    reach.hear('t')
+    reach.end('t')
+    clock.advance(60)
+    assert not reach.is_lost('t')
+    reach.begin('t')
+    assert not reach.is_lost('t')
+
+
+def test_a_silent_target_gets_one_probe_a_second():
+    # Each request that was sent to a dark engine was lost to its caller.
+    reach, clock = make()
+    reach.begin('t')
+    clock.advance(SILENT_S * 1.01)
+    sent = 0
+    for _tick in range(50):
+        if reach.may_try('t'):
+            reach.begin_probe('t')
+            sent += 1
+        clock.advance(0.1)
+    assert 4 <= sent <= 5
+
+
+def test_a_target_without_a_connection_is_left_until_the_next_probe():
+    reach, clock = make()
+    reach.fail('t')
+    assert reach.is_lost('t')
+    assert not reach.may_try('t')
+    clock.advance(1.01)
+    assert reach.may_try('t')
+    reach.begin_probe('t')
+    assert not reach.may_try('t')
+    reach.hear('t')
+    assert reach.may_try('t')
+    assert not reach.is_lost('t')
+
+
+def test_targets_that_are_gone_are_forgotten_when_unused():
+    reach, _clock = make()
+    reach.fail('gone')
+    reach.begin('used')
+    reach.fail('used')
+    reach.retain([])
+    assert not reach.is_lost('gone')
+    assert reach.is_lost('used')
--- a/tests/store/test_watching.py
+++ b/tests/store/test_watching.py
@@ -116,7 +116,12 @@
     async def act(watcher, clock):
         await clock.sleep(1)
         guard = StoreGuard(
-            store, [watcher], clock, lambda: 0.5, lambda _version: None
+            store,
+            [watcher],
+            clock,
+            lambda: 0.5,
+            lambda _version: None,
+            lambda: 1.0,
         )
         await guard.check_once()
         store.reachable = False
