--- a/cassiarail/edge/fleet_demand.py
+++ b/cassiarail/edge/fleet_demand.py
@@ -23,6 +23,7 @@
 
     received_at: float
     rows: tuple[DemandRow, ...]
+    sent: dict[str, int]
 
 
 class FleetDemand:
@@ -38,7 +39,11 @@
     def take(self, digest: Digest) -> None:
         """Take a host's report."""
         now = self._clock.monotonic()
-        self._reports[digest.host] = _Report(now, tuple(digest.demand))
+        self._reports[digest.host] = _Report(
+            now,
+            tuple(digest.demand),
+            digest.sent,
+        )
         if not self._asked_at:
             self._begun_at = now
         for row in digest.demand:
@@ -92,6 +97,15 @@
                 shortest[row.model] = min(known, row.objective_s)
         return {**found, **shortest}
 
+    def sum_sent(self) -> dict[str, int]:
+        """Return the requests of all hosts in progress at each target."""
+        oldest = self._clock.monotonic() - _REPORT_LIFE_S
+        total: collections.Counter[str] = collections.Counter()
+        for report in self._reports.values():
+            if report.received_at >= oldest:
+                total.update(report.sent)
+        return dict(total)
+
     def unasked_s(self) -> float:
         """Return how long demand has been known; models age from there."""
         if not self._asked_at:
--- a/cassiarail/edge/presence.py
+++ b/cassiarail/edge/presence.py
@@ -31,6 +31,7 @@
 from cassiarail.edge.tenure import Tenure
 from cassiarail.edge.waiting import PlacementWaits
 from cassiarail.http1.pool import Address
+from cassiarail.routing.earliest import EarliestChoice
 
 _REPORT_INTERVAL_S = 0.5
 # In a large fleet each host reports half as often, so that the link of the
@@ -71,6 +72,7 @@
     waits: PlacementWaits
     broadcaster: Broadcaster
     feed: LedgerFeed
+    choice: EarliestChoice
     store_contact_s: Callable[[], float]
     count_hosts: Callable[[], int]
 
@@ -142,7 +144,6 @@
         digest = self._make_digest()
         if self._is_holder():
             self._parts.fleet_demand.take(digest)
-            self._wake_holder()
             self._send_ledgers(is_regular=is_regular)
         elif self._holder_address is not None:
             self._link.send(digest, self._holder_address)
@@ -196,7 +197,8 @@
 
     def _take_digest(self, digest: Digest, sender: Address) -> None:
         self._parts.fleet_demand.take(digest)
-        self._wake_holder()
+        if self.holder is not None:
+            self.holder.wake()
         fence = self.tenure.fence if self.tenure else 0
         if not (self._is_holder() and digest.is_behind):
             return
@@ -224,6 +226,7 @@
         self._holder_address = Address.parse(ledger.address)
         self._holder_heard_at = self._clock.monotonic()
         self._set_expected(ledger.expected)
+        self._take_loads(ledger)
         self._take_rows(ledger)
         if feed.is_behind and not was_behind:
             self.report_soon()
@@ -246,6 +249,12 @@
         elif ledger.engines:
             self._parts.waits.wake()
 
+    def _take_loads(self, ledger: Ledger) -> None:
+        # Small fleets learn loads from the answers of targets.
+        if ledger.loads and self.host_count > _LARGE_FLEET:
+            now = asyncio.get_running_loop().time()
+            self._parts.choice.take_loads(ledger.loads, now)
+
     def _make_digest(self) -> Digest:
         feed = self._parts.feed
         return Digest(
@@ -255,6 +264,7 @@
             feed.fence,
             feed.heard,
             feed.is_behind,
+            self._parts.choice.list_own(),
         )
 
     def _send_ledgers(self, *, is_regular: bool) -> None:
@@ -262,6 +272,7 @@
             return
         engines = list(self._choose_engines(self.holder, is_regular=is_regular))
         targets, gone = self._changes.take()
+        self.holder.wake()
         self._set_expected(self.holder.list_expected())
         longest = max(len(engines), len(targets), len(gone))
         if not longest and not is_regular:
@@ -271,6 +282,9 @@
             ledger = self._make_ledger(engines[part])
             ledger.targets = targets[part]
             ledger.gone = gone[part]
+            if is_regular and not begin:
+                ledger.loads = self._parts.fleet_demand.sum_sent()
+                self._take_loads(ledger)
             self._parts.broadcaster.send(ledger)
         self._parts.waits.wake()
 
@@ -315,10 +329,6 @@
     def _is_holder(self) -> bool:
         return self.holder is not None and self.holder.is_holder
 
-    def _wake_holder(self) -> None:
-        if self.holder is not None:
-            self.holder.wake()
-
     def _list_losses(self) -> list[LossRow]:
         recent = self._parts.suspects.list_recent(_LOSSES_WITHIN_S)
         return [
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -33,6 +33,7 @@
 from cassiarail.store.backends.base import ObjectStore
 from cassiarail.store.guard import (
     CHECK_INTERVAL_S,
+    FED_CHECK_INTERVAL_S,
     HOLDER_CHECK_INTERVAL_S,
     Checkable,
 )
@@ -86,6 +87,7 @@
         self._in_force = ConfigurationInForce()
         self._directory = TargetDirectory(self._clock.monotonic)
         self._reach = ReachTracker(self._clock)
+        self._choice = EarliestChoice(self._generator)
         self._control = ControlParts(
             ControlBase(
                 settings,
@@ -95,6 +97,7 @@
                 self._directory,
                 self._reach,
             ),
+            self._choice,
             self._clock,
             self._generator,
         )
@@ -116,7 +119,6 @@
 
     def _build_forwarding(self) -> None:
         clock = self._clock
-        self._choice = EarliestChoice(self._generator)
         self._pool = ConnectionPool(PoolRules(TARGET_CONNECT_TIMEOUT_S))
         self._outliers = OutlierDetector(
             clock,
@@ -259,6 +261,8 @@
     def _check_interval_s(self) -> float:
         if self._control.holder.is_holder:
             return HOLDER_CHECK_INTERVAL_S
+        if self._control.feed.is_current():
+            return FED_CHECK_INTERVAL_S
         return CHECK_INTERVAL_S
 
     def _may_spare(self, _instance: str) -> bool:
--- a/cassiarail/placement/harm.py
+++ b/cassiarail/placement/harm.py
@@ -18,6 +18,9 @@
 
 # One copy carries requests up to this share of the slots of its engine.
 COPY_SHARE = 0.45
+# An engine whose models together use more of its slots than this delays them;
+# arrivals come in bursts.
+_FULL_SHARE = 0.7
 # Orders, reports and the digests of hosts around a load from disk.
 _SWAP_OVERHEAD_S = 0.4
 # A resident model that is evicted is asked for until it is back; another
@@ -55,6 +58,7 @@
         )
         for engine in fleet.engines:
             self.copies.update(list_models(engine))
+        self._least_use = self._find_least_use()
 
     def demand(self, name: str) -> ModelDemand:
         """Return the demand for a model."""
@@ -72,7 +76,24 @@
     def wanted_copies(self, name: str) -> int:
         """Return how many copies carry the demand."""
         running = self.demand(name).in_flight
-        return 1 + int(running / (COPY_SHARE * self._slots))
+        wanted = 1 + int(running / (COPY_SHARE * self._slots))
+        if self._least_use.get(name, 0) > _FULL_SHARE:
+            wanted = max(wanted, self.copies[name] + 1)
+        return wanted
+
+    def use_of(self, engine: EngineState) -> float:
+        """Return the share of an engine's slots that its models use."""
+        running = sum(
+            self.demand(name).in_flight / max(1, self.copies[name])
+            for name in engine.held
+        )
+        return running / max(1, engine.slots)
+
+    def crowding(self, name: str, engine: EngineState) -> float:
+        """Return the harm of adding a model's requests to an engine."""
+        demand = self.demand(name)
+        rate = demand.asked_per_s / (1 + self.copies[name])
+        return rate * self.use_of(engine) * _CROWDED_S
 
     def gain(self, facts: ModelFacts) -> float:
         """Return the harm that another copy of a model averts."""
@@ -81,7 +102,12 @@
             rate = demand.asked_per_s + demand.waiting
             return rate * self._outage_s(facts)
         use = demand.in_flight / (self.copies[facts.name] * self._slots)
-        return demand.asked_per_s * max(0, use - COPY_SHARE) * _CROWDED_S
+        excess = max(
+            0,
+            use - COPY_SHARE,
+            self._least_use.get(facts.name, 0) - _FULL_SHARE,
+        )
+        return demand.asked_per_s * excess * _CROWDED_S
 
     def loss(self, name: str) -> float:
         """Return the harm of unloading one copy of a model."""
@@ -131,6 +157,15 @@
             for name in engine.held
         )
 
+    def _find_least_use(self) -> dict[str, float]:
+        """Return the use of the least used engine for each model held."""
+        least: dict[str, float] = {}
+        for engine in self._fleet.engines:
+            use = self.use_of(engine)
+            for name in engine.held:
+                least[name] = min(use, least.get(name, use))
+        return least
+
     def _outage_s(self, facts: ModelFacts) -> float:
         if self.needs_residence(facts):
             return _RESIDENT_OUTAGE_S
--- a/cassiarail/placement/ondemand.py
+++ b/cassiarail/placement/ondemand.py
@@ -186,6 +186,7 @@
             delay_s += _DRAIN_S
         return _Swap(
             loss
+            + self.harm.crowding(model.name, engine)
             + delay_s * (1 + demand.waiting + demand.asked_per_s)
             + expected_s * self.harm.adapter_rate(engine) * _ADAPTER_MISSES
             + expected_s * _BUSY_HARM,
--- a/cassiarail/store/guard.py
+++ b/cassiarail/store/guard.py
@@ -11,6 +11,9 @@
 
 # Others rely on the order holder to notice sooner that it is cut off.
 HOLDER_CHECK_INTERVAL_S = 0.4
+# A host that others keep up to date needs its own path to the store only for
+# the configuration, whose watch also probes its connection.
+FED_CHECK_INTERVAL_S = 2.0
 # A waiting watch may never hear of an outage. One cheap read a second finds
 # the end of an outage well within the bound on configuration (2 s).
 CHECK_INTERVAL_S = 1.0
