Soak real processes; make copies only where they relieve an engine

The soak starts cassiarail-edge processes against stand-ins of the platform's store and engines, with faults from outside: links that delay, reset, silence or cut one way, signals, a store that is busy, slow, loses answers or forgets.

--- a/cassiarail/placement/harm.py
+++ b/cassiarail/placement/harm.py
@@ -26,6 +26,8 @@
 # A resident model that is evicted is asked for until it is back; another
 # model has to leave for it in turn.
 _RESIDENT_OUTAGE_S = 6.0
+# A copy on another engine has to lower the use of slots by more than this.
+_LEAST_RELIEF = 0.1
 # Requests that queue longer when one of too few copies goes.
 _CROWDED_S = 1.5
 _REDUNDANT_S = 0.05
@@ -95,18 +97,21 @@
         rate = demand.asked_per_s / (1 + self.copies[name])
         return rate * self.use_of(engine) * _CROWDED_S
 
-    def gain(self, facts: ModelFacts) -> float:
-        """Return the harm that another copy of a model averts."""
+    def gain(self, facts: ModelFacts, use: float) -> float:
+        """Return the harm that another copy of a model averts.
+
+        ``use`` is that of the engine which would take the copy: a copy on an
+        engine that is as full as the others relieves nobody.
+        """
         demand = self.demand(facts.name)
         if self.is_missing(facts.name):
             rate = demand.asked_per_s + demand.waiting
             return rate * self._outage_s(facts)
-        use = demand.in_flight / (self.copies[facts.name] * self._slots)
-        excess = max(
-            0,
-            use - COPY_SHARE,
-            self._least_use.get(facts.name, 0) - _FULL_SHARE,
-        )
+        least_use = self._least_use.get(facts.name, 0)
+        if least_use - use < _LEAST_RELIEF:
+            return 0
+        own_use = demand.in_flight / (self.copies[facts.name] * self._slots)
+        excess = max(0, own_use - COPY_SHARE, least_use - _FULL_SHARE)
         return demand.asked_per_s * excess * _CROWDED_S
 
     def loss(self, name: str) -> float:
@@ -118,7 +123,7 @@
         copies = max(1, self.copies[name])
         rate = demand.asked_per_s + demand.waiting
         if copies == 1:
-            harm = rate * self._outage_s(facts)
+            harm = rate * self._outage_s(facts) + self._return_harm(facts)
         elif copies <= self.wanted_copies(name):
             harm = rate * _CROWDED_S
         else:
@@ -157,6 +162,10 @@
             for name in engine.held
         )
 
+    def lowest_use(self) -> float:
+        """Return the use of the least used engine."""
+        return min(map(self.use_of, self._fleet.engines), default=0)
+
     def _find_least_use(self) -> dict[str, float]:
         """Return the use of the least used engine for each model held."""
         least: dict[str, float] = {}
@@ -171,6 +180,14 @@
             return _RESIDENT_OUTAGE_S
         return facts.disk_load_s + _SWAP_OVERHEAD_S
 
+    def _return_harm(self, facts: ModelFacts) -> float:
+        """Return the requests that are late when a model has to come back."""
+        swap_s = facts.disk_load_s + _SWAP_OVERHEAD_S
+        demand = self.demand(facts.name)
+        if not demand.asked_per_s or self.needs_residence(facts):
+            return 0
+        return min(1, swap_s / demand.objective_s)
+
     def _prior(self, name: str) -> float:
         idle_s = min(self.demand(name).idle_s, self._fleet.known_s)
         fresh = max(0, 1 - idle_s / _PRIOR_FADES_S)
--- a/cassiarail/placement/ondemand.py
+++ b/cassiarail/placement/ondemand.py
@@ -34,6 +34,8 @@
 # At most this share of the engines swaps models whose requests can wait, so
 # that others are free when demand moves to a model that can't.
 _PATIENT_SHARE = 0.34
+# Disks matter where the weight store takes this many times as long.
+_SLOW_STORE = 2.0
 # What an engine that is busy keeps from others, in requests a second.
 _BUSY_HARM = 1.0
 # An unload waits for the runs of its model for about this long.
@@ -110,7 +112,8 @@
             for name, demand in self._fleet.demand.items()
             if name in known and (demand.waiting or demand.asked_per_s)
         ]
-        return sorted(asked, key=lambda model: -self.harm.gain(model))
+        use = self.harm.lowest_use()
+        return sorted(asked, key=lambda model: -self.harm.gain(model, use))
 
     def _lacks_copies(self, name: str) -> bool:
         wanted = self.harm.wanted_copies(name)
@@ -150,6 +153,8 @@
         """
         if self.store_loads <= 0:
             return True
+        if model.store_load_s < _SLOW_STORE * model.disk_load_s:
+            return False
         return self._is_patient(model.name) and self._at_hand[model.name] > 0
 
     def _must_wait(self, model: ModelFacts) -> bool:
@@ -177,7 +182,8 @@
         engine: EngineState,
     ) -> _Swap | None:
         victims, loss = self._choose_victims(model, engine)
-        if victims is None or loss > self.harm.gain(model):
+        gain = self.harm.gain(model, self.harm.use_of(engine))
+        if victims is None or gain <= 0 or loss > gain:
             return None
         expected_s = find_load_time(model, engine)
         demand = self.harm.demand(model.name)
--- a/tests/placement/test_ondemand.py
+++ b/tests/placement/test_ondemand.py
@@ -280,3 +280,42 @@
     engine = make_engine('x', 'bc')
     fleet = make_fleet([engine], {'b': BUSY, 'c': IDLE}, lead_s=9)
     assert all(step.is_load for step in plan_steps(fleet))
+
+
+def test_no_copy_is_made_where_it_relieves_nobody():
+    # Under overload, copies of busy models took the places of rare ones.
+    crowded = ModelDemand(asked_per_s=30, in_flight=60, objective_s=0.5)
+    rare = ModelDemand(asked_per_s=0.5, idle_s=1, objective_s=3)
+    engines = [make_engine('x', 'a'), make_engine('y', 'bc')]
+    demand = {'a': crowded, 'b': crowded, 'c': rare}
+    steps = models_only(plan_steps(make_fleet(engines, demand)))
+    assert all(each.is_load and each.model in 'de' for each in steps)
+
+
+def test_a_crowded_engine_gets_a_copy_elsewhere():
+    busy = ModelDemand(asked_per_s=30, in_flight=30, objective_s=0.5)
+    engines = [make_engine('x', 'a'), make_engine('y', 'b')]
+    steps = models_only(plan_steps(make_fleet(engines, {'a': busy})))
+    assert [each.engine for each in steps if each.model == 'a'] == ['y']
+
+
+def test_a_quick_weight_store_serves_models_that_take_turns():
+    # Where a load from the store takes little longer than one from a disk,
+    # models waited for the one engine that had them.
+    quick = {
+        name: facts._replace(store_load_s=1.2, disk_load_s=0.8)
+        for name, facts in MODELS.items()
+    }
+    engines = [
+        make_engine('x', ''),
+        make_engine(
+            'y',
+            'ab',
+            on_disk=frozenset('d'),
+            is_busy=True,
+            free_in_s=4,
+        ),
+    ]
+    fleet = make_fleet(engines, {'d': RARE, 'a': BUSY})._replace(models=quick)
+    (step,) = models_only(plan_steps(fleet))
+    assert (step.engine, step.is_store_load) == ('x', True)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run the real programs as processes and inject faults from outside."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,36 @@
+"""Play seeds of the soak by hand: ``python -m tests.soak --seeds 50``."""
+
+import asyncio
+import json
+import pathlib
+from typing import Annotated
+
+import typer
+
+from tests.soak.drill import Scale, play
+
+
+def main(
+    first: Annotated[int, typer.Option(help='first seed')] = 1,
+    seeds: Annotated[int, typer.Option(help='how many seeds')] = 5,
+    hosts: Annotated[int, typer.Option(help='host processes')] = 3,
+    engines: Annotated[int, typer.Option(help='model engines')] = 4,
+    seconds: Annotated[float, typer.Option(help='length of the faults')] = 12,
+    faults: Annotated[int, typer.Option(help='faults in a run')] = 8,
+    logs: Annotated[str, typer.Option(help='folder for logs')] = '',
+) -> None:
+    """Exit 1 if a promise was broken on any seed."""
+    scale = Scale(hosts, engines, seconds, faults=faults)
+    is_broken = False
+    for seed in range(first, first + seeds):
+        folder = pathlib.Path(logs) / str(seed) if logs else None
+        if folder is not None:
+            folder.mkdir(parents=True, exist_ok=True)
+        report = asyncio.run(play(seed, scale, folder))
+        typer.echo(json.dumps(report._asdict()))
+        is_broken = is_broken or bool(report.broken)
+    raise typer.Exit(int(is_broken))
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- /dev/null
+++ b/tests/soak/hosts.py
@@ -0,0 +1,124 @@
+"""Start the real program as processes, and signal them."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+
+from tests.soak.links import Link
+
+BOUNDS = {
+    'lease_s': 3.0,
+    'loads_window_s': 5,
+    'retry_ratio': 0.2,
+    'retry_slack': 50,
+    'retry_window_s': 10,
+    'stop_s': 8,
+}
+
+
+def find_ports(count):
+    """Return loopback ports that are free now."""
+    sockets = [socket.socket() for _port in range(count)]
+    try:
+        for each in sockets:
+            each.bind(('127.0.0.1', 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+class Host:
+    """Own one process, its settings and its link to the store."""
+
+    def __init__(self, name, zone, folder, store_port):
+        self.name = name
+        self.touched_at = float('-inf')
+        self.is_frozen = False
+        self.link = Link(store_port)
+        self._zone = zone
+        self._folder = folder
+        self._process = None
+        self._ports = find_ports(4)
+
+    @property
+    def port(self):
+        """Return the port for callers."""
+        return self._ports[0]
+
+    @property
+    def ready_port(self):
+        """Return the port that tells readiness."""
+        return self._ports[1]
+
+    @property
+    def machine(self):
+        """Return the name under which the host gives orders."""
+        return f'{self.name}@127.0.0.1:{self._ports[3]}'
+
+    @property
+    def is_running(self):
+        """Tell whether the process exists."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self):
+        """Start the process, as the platform does after each end."""
+        if not self.link.port:
+            await self.link.start()
+        path = self._folder / f'{self.name}.json'
+        path.write_text(json.dumps(self._settings()))
+        with (self._folder / f'{self.name}.log').open('ab') as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'cassiarail.commands.edge',
+                stdout=log,
+                stderr=log,
+                env={**os.environ, 'CASSIARAIL_SETTINGS': str(path)},
+            )
+        self.is_frozen = False
+
+    def send(self, number):
+        """Send a signal to the process that this object started."""
+        if self.is_running:
+            self._process.send_signal(number)
+            self.is_frozen = number == signal.SIGSTOP
+
+    async def end(self, number=signal.SIGKILL):
+        """End the process and wait for it."""
+        if self.is_running:
+            if self.is_frozen:
+                self._process.send_signal(signal.SIGCONT)
+            self._process.send_signal(number)
+            try:
+                await asyncio.wait_for(self._process.wait(), BOUNDS['stop_s'])
+            except TimeoutError:
+                self._process.kill()
+                await self._process.wait()
+        return self._process.returncode if self._process else None
+
+    def _settings(self):
+        return {
+            'name': self.name,
+            'data_centre': self._zone,
+            'callers': f'127.0.0.1:{self._ports[0]}',
+            'readiness': {
+                'address': f'127.0.0.1:{self._ports[1]}',
+                'path': '/v1/readyz',
+            },
+            'metrics': {
+                'address': f'127.0.0.1:{self._ports[2]}',
+                'path': '/metrics',
+            },
+            'peers': f'127.0.0.1:{self._ports[3]}',
+            'object_api': f'127.0.0.1:{self.link.port}',
+            'registry': {
+                'targets': 'servers',
+                'configuration': 'config',
+                'configuration_name': 'main',
+            },
+            'bounds': BOUNDS,
+        }
