--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -24,7 +24,6 @@
 from cassiarail.edge.tenure import Tenure, TenureRules
 from cassiarail.edge.waiting import PlacementWaits
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
-from cassiarail.routing.earliest import EarliestChoice
 from cassiarail.routing.reach import ReachTracker
 from cassiarail.store.backends.base import ObjectStore
 from cassiarail.store.leases import ORDERS_LEASE, Lease
@@ -54,11 +53,9 @@
     def __init__(
         self,
         base: ControlBase,
-        choice: EarliestChoice,
         clock: Clock,
         generator: random.Random,
     ) -> None:
-        self._choice = choice
         self.suspects = CrashSuspects(clock)
         # How long ago the store answered while the registry is followed, or
         # negative; set when the watches are made.
@@ -110,7 +107,6 @@
                     self._generator,
                 ),
                 self.feed,
-                self._choice,
                 lambda: self.store_contact_s(),
                 lambda: len(list(self._hosts.hosts)),
             ),
--- a/cassiarail/edge/fleet_demand.py
+++ b/cassiarail/edge/fleet_demand.py
@@ -23,7 +23,6 @@
 
     received_at: float
     rows: tuple[DemandRow, ...]
-    sent: dict[str, int]
 
 
 class FleetDemand:
@@ -39,11 +38,7 @@
     def take(self, digest: Digest) -> None:
         """Take a host's report."""
         now = self._clock.monotonic()
-        self._reports[digest.host] = _Report(
-            now,
-            tuple(digest.demand),
-            digest.sent,
-        )
+        self._reports[digest.host] = _Report(now, tuple(digest.demand))
         if not self._asked_at:
             self._begun_at = now
         for row in digest.demand:
@@ -97,15 +92,6 @@
                 shortest[row.model] = min(known, row.objective_s)
         return {**found, **shortest}
 
-    def sum_sent(self) -> dict[str, int]:
-        """Return the requests of all hosts in progress at each target."""
-        oldest = self._clock.monotonic() - _REPORT_LIFE_S
-        total: collections.Counter[str] = collections.Counter()
-        for report in self._reports.values():
-            if report.received_at >= oldest:
-                total.update(report.sent)
-        return dict(total)
-
     def unasked_s(self) -> float:
         """Return how long demand has been known; models age from there."""
         if not self._asked_at:
--- a/cassiarail/edge/messages.py
+++ b/cassiarail/edge/messages.py
@@ -35,7 +35,6 @@
     """Report a host's demand to the order holder.
 
     A host that misses ledgers asks for those after ``heard`` of a fence.
-    ``sent`` counts its requests that are in progress at each target.
     """
 
     host: str
@@ -44,7 +43,6 @@
     fence: int = 0
     heard: int = 0
     is_behind: bool = False
-    sent: dict[str, int] = {}
 
 
 class EngineRow(msgspec.Struct, array_like=True):
@@ -99,7 +97,6 @@
     ``contact_s`` is how long ago the holder last heard from the store, or
     negative while its own watch of the registry fails.
     ``hosts`` counts the registered hosts; ``is_last`` ends the tenure.
-    ``loads`` counts the requests of all hosts in progress at each target.
     ``leaving`` names the starts of targets that take no new requests.
     """
 
@@ -115,7 +112,6 @@
     leaving: list[tuple[str, int]]
     targets: list[TargetRow] = []
     gone: list[GoneRow] = []
-    loads: dict[str, int] = {}
     is_last: bool = False
 
     @property
--- a/cassiarail/edge/presence.py
+++ b/cassiarail/edge/presence.py
@@ -31,7 +31,6 @@
 from cassiarail.edge.tenure import Tenure
 from cassiarail.edge.waiting import PlacementWaits
 from cassiarail.http1.pool import Address
-from cassiarail.routing.earliest import EarliestChoice
 
 _REPORT_INTERVAL_S = 0.5
 # In a large fleet each host reports half as often, so that the link of the
@@ -72,7 +71,6 @@
     waits: PlacementWaits
     broadcaster: Broadcaster
     feed: LedgerFeed
-    choice: EarliestChoice
     store_contact_s: Callable[[], float]
     count_hosts: Callable[[], int]
 
@@ -226,7 +224,6 @@
         self._holder_address = Address.parse(ledger.address)
         self._holder_heard_at = self._clock.monotonic()
         self._set_expected(ledger.expected)
-        self._take_loads(ledger)
         self._take_rows(ledger)
         if feed.is_behind and not was_behind:
             self.report_soon()
@@ -249,12 +246,6 @@
         elif ledger.engines:
             self._parts.waits.wake()
 
-    def _take_loads(self, ledger: Ledger) -> None:
-        # Small fleets learn loads from the answers of targets.
-        if ledger.loads and self.host_count > _LARGE_FLEET:
-            now = asyncio.get_running_loop().time()
-            self._parts.choice.take_loads(ledger.loads, now)
-
     def _make_digest(self) -> Digest:
         feed = self._parts.feed
         return Digest(
@@ -264,7 +255,6 @@
             feed.fence,
             feed.heard,
             feed.is_behind,
-            self._parts.choice.list_own(),
         )
 
     def _send_ledgers(self, *, is_regular: bool) -> None:
@@ -282,9 +272,6 @@
             ledger = self._make_ledger(engines[part])
             ledger.targets = targets[part]
             ledger.gone = gone[part]
-            if is_regular and not begin:
-                ledger.loads = self._parts.fleet_demand.sum_sent()
-                self._take_loads(ledger)
             self._parts.broadcaster.send(ledger)
         self._parts.waits.wake()
 
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -97,7 +97,6 @@
                 self._directory,
                 self._reach,
             ),
-            self._choice,
             self._clock,
             self._generator,
         )
--- a/cassiarail/routing/earliest.py
+++ b/cassiarail/routing/earliest.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 # What other hosts have at a target is forgotten at this age of its report.
@@ -62,21 +62,6 @@
         """Return the use of a target."""
         return self._uses.setdefault(instance, TargetUse())
 
-    def list_own(self) -> dict[str, int]:
-        """Return the own requests in progress at each target."""
-        return {
-            instance: use.own for instance, use in self._uses.items() if use.own
-        }
-
-    def take_loads(self, loads: Mapping[str, int], now: float) -> None:
-        """Take the requests of all hosts at each target.
-
-        A target that is not named has none.
-        """
-        instances = loads.keys() | self._uses.keys()
-        for instance in instances:
-            self.use_of(instance).take_report(loads.get(instance, 0), now)
-
     def retain(self, instances: Iterable[str]) -> None:
         """Forget all targets but the named ones and those in use."""
         kept = set(instances)
