Log when targets and ledgers are lost and regained

Each change of what a host believes gets one line: a target out of reach or silent, and its end; ledgers that stand in for the watch of targets, and their end; a lease that was retaken.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SECONDS ?= 30
 
-.PHONY: demo test lint soak
+.PHONY: demo test lint soak fault-soak
 
 $(STAMP):
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -27,3 +27,6 @@
 
 soak: $(STAMP)
 	$(BIN)/python -m cassiarail.testbed.soak --seed $(SEED) --seconds $(SECONDS)
+
+fault-soak: $(STAMP)
+	$(BIN)/python -m tests.soak --first $(SEED) --seeds 5
--- a/cassiarail/edge/events.py
+++ b/cassiarail/edge/events.py
@@ -84,6 +84,16 @@
     level=logging.WARNING,
     summary='datagram of a peer is unreadable',
 )
+LEDGERS_STAND_IN = define_event(
+    number=5205,
+    level=logging.INFO,
+    summary='ledgers of the order holder stand in for the watch of targets',
+)
+LEDGERS_LOST = define_event(
+    number=5206,
+    level=logging.INFO,
+    summary='ledgers stopped or one is missing; watching targets again',
+)
 FREEZE_NOTICED = define_event(
     number=1201,
     level=logging.WARNING,
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -19,6 +19,7 @@
 from cassiarail.edge.forwarding import Forwarder, ForwardingParts
 from cassiarail.edge.front import CallerFront, DrainRules
 from cassiarail.edge.metrics import EdgeMetrics
+from cassiarail.edge.pace import StorePace
 from cassiarail.edge.selection import TargetSelector
 from cassiarail.edge.status import MetricsListener, ReadinessListener
 from cassiarail.edge.targets import TargetDirectory
@@ -31,12 +32,7 @@
 from cassiarail.routing.outliers import OutlierDetector, OutlierRules
 from cassiarail.routing.reach import ReachTracker
 from cassiarail.store.backends.base import ObjectStore
-from cassiarail.store.guard import (
-    CHECK_INTERVAL_S,
-    FED_CHECK_INTERVAL_S,
-    HOLDER_CHECK_INTERVAL_S,
-    Checkable,
-)
+from cassiarail.store.guard import Checkable
 from cassiarail.telemetry.lines import LineWriter
 
 # Requests that are still in progress at this share of the time to stop are
@@ -44,14 +40,6 @@
 _STOP_SHARE = 0.92
 # Until the hosts are counted, the retry budget is divided by this.
 _UNKNOWN_HOSTS = 16
-# Each change of an engine is a priced call of every host that watches. The
-# order holder needs changes at once and tells the others; their own watch
-# has to show a target that leaves well within the bound of 2 s.
-_HOLDER_PAUSE_S = 0.05
-_PAUSE_S = 0.9
-# The store keeps changes for 20 s; a watch that begins later lists anew.
-_LONGEST_PAUSE_S = 12.0
-_FEED_CHECK_S = 0.2
 # Failures in a row that eject a target, and for how long. At most half of a
 # service's targets are ejected.
 _EJECTION_S = 2.0
@@ -174,6 +162,11 @@
             self._links.dialect,
             self._take_directory_change,
         )
+        pace = StorePace(
+            self._control.feed,
+            lambda: self._control.holder.is_holder,
+            clock,
+        )
         self._watches = Watches(
             self._links.store,
             self._links.checkable,
@@ -187,9 +180,9 @@
             clock,
             self._generator,
             WatchHooks(
-                self._pause_targets,
+                pace.pause_targets,
                 self._control.lease.observe,
-                self._check_interval_s,
+                pace.check_interval_s,
             ),
         )
         self._control.store_contact_s = self._watches.contact_s
@@ -241,29 +234,6 @@
             each.instance for each in self._directory.of_service(target.service)
         ]
 
-    async def _pause_targets(self) -> None:
-        """Gather changes; rely on the holder's ledgers while they come."""
-        holder = self._control.holder
-        self._control.feed.note_own_call()
-        if holder.is_holder:
-            await self._clock.sleep(_HOLDER_PAUSE_S)
-            return
-        until = self._clock.monotonic() + _LONGEST_PAUSE_S
-        await self._clock.sleep(_PAUSE_S)
-        while (
-            self._control.feed.is_current()
-            and not holder.is_holder
-            and self._clock.monotonic() < until
-        ):
-            await self._clock.sleep(_FEED_CHECK_S)
-
-    def _check_interval_s(self) -> float:
-        if self._control.holder.is_holder:
-            return HOLDER_CHECK_INTERVAL_S
-        if self._control.feed.is_current():
-            return FED_CHECK_INTERVAL_S
-        return CHECK_INTERVAL_S
-
     def _may_spare(self, _instance: str) -> bool:
         # Ejected targets are still used where no other holds a model.
         return True
--- a/cassiarail/edge/tenure.py
+++ b/cassiarail/edge/tenure.py
@@ -184,6 +184,7 @@
             fence=self.fence,
             quiet_s=quiet_s,
             resigned=self._resigned is not None,
+            retaken=self._lease.inherited_quiet_s is not None,
         )
         self._on_change(True)
 
--- a/cassiarail/routing/reach.py
+++ b/cassiarail/routing/reach.py
@@ -10,6 +10,8 @@
 from collections.abc import Hashable, Iterable
 
 from cassiarail.core.clock import Clock
+from cassiarail.core.events import emit_event
+from cassiarail.routing.events import TARGET_LOST, TARGET_REGAINED
 
 # Several times the longest first answer of a target that is not overloaded.
 SILENT_S = 0.8
@@ -24,6 +26,7 @@
         self.outstanding = 0
         self.quiet_since = float(0)
         self.failed_until: float | None = None
+        self.is_told = False
 
 
 class ReachTracker:
@@ -49,13 +52,24 @@
     def hear(self, target: Hashable) -> None:
         """Note that a target has sent something."""
         reach = self._reaches.setdefault(target, _Reach())
+        if reach.is_told:
+            reach.is_told = False
+            emit_event(
+                TARGET_REGAINED,
+                target=str(target),
+                silent_s=self._clock.monotonic() - reach.quiet_since,
+            )
         reach.quiet_since = self._clock.monotonic()
         reach.failed_until = None
 
     def fail(self, target: Hashable) -> None:
         """Note that a connection could not be opened in time."""
         reach = self._reaches.setdefault(target, _Reach())
-        reach.failed_until = self._clock.monotonic() + _PROBE_S
+        now = self._clock.monotonic()
+        if not reach.outstanding:
+            reach.quiet_since = now
+        reach.failed_until = now + _PROBE_S
+        self._tell_loss(target, reach)
 
     def is_lost(self, target: Hashable) -> bool:
         """Tell whether a target is out of reach or silent."""
@@ -73,6 +87,7 @@
             return True
         now = self._clock.monotonic()
         reach = self._reaches[target]
+        self._tell_loss(target, reach)
         if reach.failed_until is None:
             reach.failed_until = reach.quiet_since + SILENT_S + _PROBE_S
         return now >= reach.failed_until
@@ -83,6 +98,16 @@
         if reach is not None and reach.failed_until is not None:
             reach.failed_until = self._clock.monotonic() + _PROBE_S
 
+    def _tell_loss(self, target: Hashable, reach: _Reach) -> None:
+        if not reach.is_told:
+            reach.is_told = True
+            emit_event(
+                TARGET_LOST,
+                target=str(target),
+                outstanding=reach.outstanding,
+                silent_s=self._clock.monotonic() - reach.quiet_since,
+            )
+
     def retain(self, targets: Iterable[Hashable]) -> None:
         """Forget all targets but those named and those in use."""
         kept = set(targets)
--- a/tests/routing/test_reach.py
+++ b/tests/routing/test_reach.py
@@ -1,9 +1,20 @@
 """Guard that requests don't pile up at targets that went dark."""
 
 from cassiarail.core.clock import ManualClock
+from cassiarail.core.events import EventSink, add_sink, remove_sink
 from cassiarail.routing.reach import SILENT_S, ReachTracker
 
 
+class RecordingSink(EventSink):
+    """Keep the events that are written."""
+
+    def __init__(self):
+        self.events = []
+
+    def write(self, event, fields):
+        self.events.append(event)
+
+
 def make():
     clock = ManualClock()
     return ReachTracker(clock), clock
@@ -58,6 +69,24 @@
     assert not reach.is_lost('t')
 
 
+def test_a_loss_and_its_end_are_logged_once_each():
+    # On-call engineers have only logs to tell a cut from an overload.
+    reach, clock = make()
+    sink = RecordingSink()
+    seen = sink.events
+    add_sink(sink)
+    try:
+        reach.begin('t')
+        clock.advance(SILENT_S * 2)
+        for _request in range(5):
+            reach.may_try('t')
+        reach.hear('t')
+        reach.hear('t')
+    finally:
+        remove_sink(sink)
+    assert [event.number for event in seen] == [2801, 2802]
+
+
 def test_targets_that_are_gone_are_forgotten_when_unused():
     reach, _clock = make()
     reach.fail('gone')
