Give an order up after the time that the quiet time allows for

Cause: seed 120 of the soak showed orders of two hosts to one engine closer than the bound of 3 s. The quiet time between holders allowed 0.3 s for the way of an order, and an order without an answer could arrive until 0.8 s.

--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -16,7 +16,11 @@
 from cassiarail.edge.holder import HolderParts, OrderHolder
 from cassiarail.edge.hosts import HostRegistry
 from cassiarail.edge.ledger_feed import LedgerFeed
-from cassiarail.edge.orders import LoadBudget, OrderGiver
+from cassiarail.edge.orders import (
+    ORDER_TIMEOUT_S,
+    LoadBudget,
+    OrderGiver,
+)
 from cassiarail.edge.peers import PeerLink
 from cassiarail.edge.presence import Presence, PresenceParts
 from cassiarail.edge.suspects import CrashSuspects
@@ -29,8 +33,6 @@
 from cassiarail.store.leases import ORDERS_LEASE, Lease
 from cassiarail.store.writes import ConditionalWriter
 
-# Spent on the way of an order and on clocks that run at different rates.
-_QUIET_MARGIN_S = 0.3
 _LEASE_S = 2.4
 # A write of the lease is given up well before the lease lapses.
 _WRITE_PATIENCE_S = 1.0
@@ -137,7 +139,7 @@
         self._tenure = Tenure(
             self.lease,
             clock,
-            TenureRules(_LEASE_S, bounds['lease_s'] + _QUIET_MARGIN_S),
+            TenureRules(_LEASE_S, bounds['lease_s'] + ORDER_TIMEOUT_S),
             self._generator.random,
             self._change_tenure,
         )
--- a/cassiarail/edge/orders.py
+++ b/cassiarail/edge/orders.py
@@ -15,7 +15,9 @@
     Step,
 )
 
-_ORDER_TIMEOUT_S = 0.8
+# An order without an answer is torn from its connection after this, so that
+# it can't arrive later. The quiet time between two holders allows for it.
+ORDER_TIMEOUT_S = 0.3
 _REPORT_TIMEOUT_S = 0.8
 # Reports are priced; one that failed is asked for again after this.
 _REPORT_PAUSE_S = 0.25
@@ -91,7 +93,7 @@
                 self._pool,
                 target.address,
                 self._dialect.encode_order(order, target.instance),
-                _ORDER_TIMEOUT_S,
+                ORDER_TIMEOUT_S,
             )
         except TargetError as error:
             self._doubt(record, order, error.message)
--- a/tests/edge/test_tenure.py
+++ b/tests/edge/test_tenure.py
@@ -12,6 +12,7 @@
 
 from cassiarail.core.clock import ManualClock
 from cassiarail.core.exceptions import StoreError
+from cassiarail.edge.orders import ORDER_TIMEOUT_S
 from cassiarail.edge.tenure import Tenure, TenureRules
 from cassiarail.store.backends.memory import MemoryObjectStore
 from cassiarail.store.leases import Lease
@@ -19,7 +20,8 @@
 from tests.store.driving import drive
 
 BETWEEN_S = 3.0
-RULES = TenureRules(lease_s=2.4, between_s=BETWEEN_S + 0.3)
+ROUNDING_S = 1e-6
+RULES = TenureRules(lease_s=2.4, between_s=BETWEEN_S + ORDER_TIMEOUT_S)
 HOSTS = 3
 who = st.integers(0, HOSTS - 1)
 
@@ -83,16 +85,22 @@
     def pass_time(self, tenths):
         self.clock.advance(tenths / 10)
 
-    @rule(index=who, engine=st.sampled_from('xy'))
-    def order(self, index, engine):
+    @rule(
+        index=who,
+        engine=st.sampled_from('xy'),
+        flight_s=st.floats(0, ORDER_TIMEOUT_S),
+    )
+    def order(self, index, engine, flight_s):
+        # An order may be under way until it is given up (seed 120 of the
+        # soak: one arrived 0.7 s after it was sent).
         member = self.members[index]
         if not member.tenure.may_order(engine):
             return
         now = self.clock.monotonic()
         last = self.orders.get(engine)
         if last and last[0] != index:
-            assert now - last[1] >= BETWEEN_S
-        self.orders[engine] = (index, now)
+            assert now - last[2] >= BETWEEN_S - ROUNDING_S
+        self.orders[engine] = (index, now, now + flight_s)
 
     @rule(index=who)
     def stop(self, index):
@@ -103,7 +111,7 @@
         now = self.clock.monotonic()
         idle_s = {
             engine: now - at
-            for engine, (sender, at) in self.orders.items()
+            for engine, (sender, at, _arrived) in self.orders.items()
             if sender == index
         }
         drive(member.tenure.drain())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,7 +11,9 @@
 
 FILE, READ, STREAM, RESUME = KINDS
 # Seeds that once showed a fault, each with its cause.
-REGRESSIONS = ()
+# 120: an order that got no answer arrived 0.7 s after it was sent, while the
+# next holder counted from its sending.
+REGRESSIONS = (120,)
 
 
 def make_call(kind, status=200, body=None, *, is_whole=True, stamp='i.r1'):
