Keep swaps that were begun to the rate of the weight store

Cause (found by reading): a plan made room while the rate allowed a load, and the load that followed was given without looking at the rate. With quick loads on many engines the loads begun in a window could exceed the ceiling. The test fails on the code before: 3 loads where 1 is allowed.

--- a/cassiarail/placement/ondemand.py
+++ b/cassiarail/placement/ondemand.py
@@ -103,7 +103,11 @@
         victims, _loss = self._choose_victims(model, engine)
         if victims is None:
             return
-        yield self._make_step(model, engine, victims)
+        step = self._make_step(model, engine, victims)
+        if step.is_store_load and self.store_loads <= 0:
+            return
+        self.store_loads -= step.is_store_load
+        yield step
 
     def _by_gain(self) -> list[ModelFacts]:
         known = self._fleet.models
--- a/tests/placement/test_ondemand.py
+++ b/tests/placement/test_ondemand.py
@@ -319,3 +319,12 @@
     fleet = make_fleet(engines, {'d': RARE, 'a': BUSY})._replace(models=quick)
     (step,) = models_only(plan_steps(fleet))
     assert (step.engine, step.is_store_load) == ('x', True)
+
+
+def test_swaps_that_were_begun_keep_to_the_rate_of_the_store():
+    # Room was made while the rate allowed a load; by then others had begun
+    # (CEILING).
+    engines = [make_engine(name, '', intended='c') for name in 'xyz']
+    fleet = make_fleet(engines, {'c': BUSY}, store_loads=1)
+    loads = [step for step in plan_steps(fleet) if step.is_store_load]
+    assert len(loads) == 1
