Log what hosts send each other, late event loops and kept targets

The hypotheses of the incident on large sites can't be told apart by the logs: removals that a host learns from ledgers leave no line, a removed entry that is kept by patience looks like one that is dropped, and neither the bytes of ledgers nor a late event loop show anywhere.

5207 tells the seconds in which a host sent much to others, by what it was for, and cassiarail_peer_sent_bytes_total counts it. 1206 tells of a late event loop. 4202 names its source, its revision and whether the target is kept.

--- a/cassiarail/edge/broadcast.py
+++ b/cassiarail/edge/broadcast.py
@@ -11,6 +11,7 @@
 
 from cassiarail.edge.messages import Ledger, Relay, encode_message
 from cassiarail.edge.peers import PeerLink
+from cassiarail.edge.traffic import TrafficKind
 from cassiarail.http1.pool import Address
 
 # Two, so that one that is gone or frozen delays nothing.
@@ -76,7 +77,11 @@
         """Send the ledgers after ``heard``; tell whether all were kept."""
         missed = [kept for kept in self._kept if kept.number > heard]
         for kept in missed:
-            self._link.send_datagram(kept.datagram, address)
+            self._link.send_datagram(
+                kept.datagram,
+                address,
+                TrafficKind.REPEAT,
+            )
         return len(missed) == self.number - heard
 
     def _send_to_centre(
@@ -86,8 +91,16 @@
     ) -> None:
         if len(addresses) <= _DIRECT_HOSTS:
             for address in addresses:
-                self._link.send_datagram(datagram, address)
+                self._link.send_datagram(
+                    datagram,
+                    address,
+                    TrafficKind.LEDGER,
+                )
             return
         for relay in self._generator.sample(addresses, _RELAYS):
             rest = [str(each) for each in addresses if each != relay]
-            self._link.send(Relay(datagram, rest), relay)
+            self._link.send(
+                Relay(datagram, rest),
+                relay,
+                TrafficKind.LEDGER,
+            )
--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from prometheus_client import CollectorRegistry
+
 from cassiarail.conf.edge import EdgeSettings
 from cassiarail.conf.global_defaults import TARGET_CONNECT_TIMEOUT_S
 from cassiarail.core.clock import Clock
@@ -26,6 +28,7 @@
 from cassiarail.edge.suspects import CrashSuspects
 from cassiarail.edge.targets import TargetDirectory
 from cassiarail.edge.tenure import Tenure, TenureRules
+from cassiarail.edge.traffic import PeerTraffic
 from cassiarail.edge.waiting import PlacementWaits
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.routing.reach import ReachTracker
@@ -47,6 +50,7 @@
     configuration: ConfigurationInForce
     directory: TargetDirectory
     reach: ReachTracker
+    registry: CollectorRegistry
 
 
 class ControlParts:
@@ -59,6 +63,7 @@
         generator: random.Random,
     ) -> None:
         self.suspects = CrashSuspects(clock)
+        self.traffic = PeerTraffic(clock, base.registry)
         # How long ago the store answered while the registry is followed, or
         # negative; set when the watches are made.
         self.store_contact_s: Callable[[], float] = lambda: -1
@@ -92,7 +97,7 @@
             clock,
             self._generator,
         )
-        link = PeerLink(Address.parse(settings['peers']))
+        link = PeerLink(Address.parse(settings['peers']), self.traffic)
         self.feed = LedgerFeed(clock)
         self.presence = Presence(
             settings['name'],
--- a/cassiarail/edge/events.py
+++ b/cassiarail/edge/events.py
@@ -94,6 +94,16 @@
     level=logging.INFO,
     summary='ledgers stopped or one is missing; watching targets again',
 )
+PEER_TRAFFIC = define_event(
+    number=5207,
+    level=logging.INFO,
+    summary='much was sent to other hosts in the last second',
+)
+LOOP_LATE = define_event(
+    number=1206,
+    level=logging.WARNING,
+    summary='event loop was late',
+)
 FREEZE_NOTICED = define_event(
     number=1201,
     level=logging.WARNING,
--- a/cassiarail/edge/following.py
+++ b/cassiarail/edge/following.py
@@ -36,7 +36,7 @@
         read = [self._read(entry) for entry in listing.entries]
         targets = [target for target in read if target is not None]
         for target in targets:
-            self._log(target)
+            log_target(self._directory, target, 'listing')
         self._directory.replace_all(targets, listing.revision)
         self._on_change()
 
@@ -47,11 +47,17 @@
             if target is None:
                 self._directory.remove(entry.name, entry.version)
             else:
-                self._log(target)
+                log_target(self._directory, target, 'watch')
                 self._directory.put(target)
         for name in batch.deleted:
-            emit_event(TARGET_LEAVING, target=name, reason='entry removed')
-            self._directory.remove(name, batch.revision)
+            is_gone = self._directory.remove(name, batch.revision)
+            emit_event(
+                TARGET_LEAVING,
+                target=name,
+                reason='entry removed',
+                revision=batch.revision,
+                kept=not is_gone,
+            )
         self._on_change()
 
     def begin_return(self) -> None:
@@ -76,23 +82,32 @@
             return None
         return target._replace(revision=entry.version)
 
-    def _log(self, target: Target) -> None:
-        known = self._directory.get(target.instance)
-        if known is None or known.identity != target.identity:
-            emit_event(
-                TARGET_ADDED,
-                target=target.instance,
-                service=target.service,
-                address=str(target.address),
-                leaving=target.is_leaving,
-                models=sorted(target.holdings.models),
-            )
-        elif target.is_leaving and not known.is_leaving:
-            emit_event(
-                TARGET_LEAVING,
-                target=target.instance,
-                reason='target says that it leaves',
-            )
+
+def log_target(
+    directory: TargetDirectory,
+    target: Target,
+    source: str,
+) -> None:
+    """Log what an entry changes, before the directory takes it."""
+    known = directory.get(target.instance)
+    if known is None or known.identity != target.identity:
+        emit_event(
+            TARGET_ADDED,
+            target=target.instance,
+            service=target.service,
+            address=str(target.address),
+            leaving=target.is_leaving,
+            models=sorted(target.holdings.models),
+            source=source,
+        )
+    elif target.is_leaving and not known.is_leaving:
+        emit_event(
+            TARGET_LEAVING,
+            target=target.instance,
+            reason='target says that it leaves',
+            revision=target.revision,
+            source=source,
+        )
 
 
 class ConfigurationFollower(Follower):
--- a/cassiarail/edge/peers.py
+++ b/cassiarail/edge/peers.py
@@ -9,6 +9,7 @@
 from cassiarail.core.events import emit_event
 from cassiarail.edge.events import PEER_UNREACHABLE, PEER_UNREADABLE
 from cassiarail.edge.messages import Message, decode_message, encode_message
+from cassiarail.edge.traffic import PeerTraffic, TrafficKind
 from cassiarail.http1.pool import Address
 
 # A peer that is gone is answered for at each datagram, twice a second.
@@ -24,10 +25,10 @@
 class PeerLink(asyncio.DatagramProtocol):
     """Send and receive messages on one address."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, traffic: PeerTraffic) -> None:
         self.address = address
         self.on_message: OnMessage = _ignore
-        self.sent_bytes = 0
+        self._traffic = traffic
         self._errors = 0
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -45,14 +46,24 @@
             self._transport.close()
             self._transport = None
 
-    def send(self, message: Message, address: Address) -> None:
+    def send(
+        self,
+        message: Message,
+        address: Address,
+        kind: TrafficKind,
+    ) -> None:
         """Send a message; it may be lost."""
-        self.send_datagram(encode_message(message), address)
+        self.send_datagram(encode_message(message), address, kind)
 
-    def send_datagram(self, datagram: bytes, address: Address) -> None:
+    def send_datagram(
+        self,
+        datagram: bytes,
+        address: Address,
+        kind: TrafficKind,
+    ) -> None:
         """Send an encoded message; it may be lost."""
         if self._transport is not None:
-            self.sent_bytes += len(datagram)
+            self._traffic.count(kind, len(datagram))
             self._transport.sendto(datagram, (address.host, address.port))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -85,7 +96,7 @@
             emit_event(PEER_UNREADABLE, peer=str(sender), error=str(error))
             return
         for receiver in receivers:
-            self.send_datagram(datagram, receiver)
+            self.send_datagram(datagram, receiver, TrafficKind.RELAY)
         self.datagram_received(datagram, sender)
 
     def error_received(self, error: Exception) -> None:
--- a/cassiarail/edge/presence.py
+++ b/cassiarail/edge/presence.py
@@ -10,8 +10,9 @@
 from cassiarail.edge.broadcast import Broadcaster
 from cassiarail.edge.changes import ChangeLog
 from cassiarail.edge.demand import DemandMeter
-from cassiarail.edge.events import PEER_UNREADABLE
+from cassiarail.edge.events import PEER_UNREADABLE, TARGET_LEAVING
 from cassiarail.edge.fleet_demand import FleetDemand, list_rows
+from cassiarail.edge.following import log_target
 from cassiarail.edge.holder import OrderHolder
 from cassiarail.edge.ledger_feed import LedgerFeed
 from cassiarail.edge.messages import (
@@ -29,6 +30,7 @@
 from cassiarail.edge.suspects import CrashSuspects
 from cassiarail.edge.targets import Target, TargetDirectory
 from cassiarail.edge.tenure import Tenure
+from cassiarail.edge.traffic import TrafficKind
 from cassiarail.edge.waiting import PlacementWaits
 from cassiarail.http1.pool import Address
 
@@ -144,7 +146,11 @@
             self._parts.fleet_demand.take(digest)
             self._send_ledgers(is_regular=is_regular)
         elif self._holder_address is not None:
-            self._link.send(digest, self._holder_address)
+            self._link.send(
+                digest,
+                self._holder_address,
+                TrafficKind.DIGEST,
+            )
 
     def begin_tenure(self) -> None:
         """Tell all hosts everything; this one gives orders from now on."""
@@ -233,9 +239,17 @@
         for identity in ledger.leaving:
             directory.learn_leaving(identity)
         for target in _read_targets(ledger.targets):
+            log_target(directory, target, 'ledger')
             directory.put(target)
         for gone in ledger.gone:
-            directory.drop(gone.instance, gone.revision)
+            if directory.drop(gone.instance, gone.revision):
+                emit_event(
+                    TARGET_LEAVING,
+                    target=gone.instance,
+                    reason='entry removed',
+                    revision=gone.revision,
+                    source='ledger',
+                )
         for row in ledger.engines:
             directory.learn_holdings(
                 (row.instance, row.born_ms),
--- a/cassiarail/edge/targets.py
+++ b/cassiarail/edge/targets.py
@@ -157,27 +157,33 @@
         self._targets[target.instance] = self._combine(target)
         self.version += 1
 
-    def remove(self, instance: str, revision: int = 0) -> None:
+    def remove(self, instance: str, revision: int = 0) -> bool:
         """Forget a target, at once or at the end of the patience.
 
-        ``revision`` is that of the registry when the entry was gone.
+        ``revision`` is that of the registry when the entry was gone. Tells
+        whether the target is known no more.
         """
         target = self._targets.get(instance)
         if target is None or self._is_outdated(instance, revision):
-            return
+            return target is None
         self._gone_at[instance] = max(revision, target.revision)
         if self._now() < self._patient_until and not target.is_leaving:
             self._missing.setdefault(instance, self._patient_until)
-            return
+            return False
         self._forget(target)
+        return True
+
+    def drop(self, instance: str, revision: int) -> bool:
+        """Forget a target at once; the order holder has been patient.
 
-    def drop(self, instance: str, revision: int) -> None:
-        """Forget a target at once; the order holder has been patient."""
+        Tells whether the target was known until now.
+        """
         target = self._targets.get(instance)
         if target is None or self._is_outdated(instance, revision):
-            return
+            return False
         self._gone_at[instance] = max(revision, target.revision)
         self._forget(target)
+        return True
 
     def list_entries(self) -> list[Target]:
         """Return all targets as the registry has them."""
--- a/cassiarail/edge/upkeep.py
+++ b/cassiarail/edge/upkeep.py
@@ -13,12 +13,15 @@
 from cassiarail.core.lifecycle import Component
 from cassiarail.edge.events import (
     FREEZE_NOTICED,
+    LOOP_LATE,
     SETTINGS_REJECTED,
     SETTINGS_RELOADED,
 )
 
 _SWEEP_S = 0.25
 _SETTINGS_S = 1.0
+# A tick that comes later than this delays callers and news of targets.
+_LATE_S = 0.2
 # A tick that comes later than this means that the process stood still.
 _FREEZE_S = 1.0
 
@@ -48,6 +51,8 @@
             if late_s > _FREEZE_S:
                 emit_event(FREEZE_NOTICED, seconds=late_s)
                 self._on_thaw()
+            elif late_s > _LATE_S:
+                emit_event(LOOP_LATE, seconds=late_s)
             for sweep in self._sweeps:
                 sweep()
 
--- a/tests/edge/test_ledger_feed.py
+++ b/tests/edge/test_ledger_feed.py
@@ -69,10 +69,10 @@
         self.address = address
         self.sent = []
 
-    def send(self, message, address):
+    def send(self, message, address, _kind):
         self.sent.append((message, address))
 
-    def send_datagram(self, datagram, address):
+    def send_datagram(self, datagram, address, _kind):
         self.sent.append((decode_message(datagram), address))
 
 
