Bound what hosts send each other to a share of their links

Callers saw requests to targets that had left, and engines that worked on for callers that had left, on hosts which had just begun to give orders.

Cause: the order holder sent ledgers again without a bound. Each ledger takes two ways, so a later one often overtakes; the receiver took the overtaken one for lost and asked at once, and with each further report until it came, and the holder answered each time with up to 128 ledgers. The holder then hears neither store nor engines, its closes reach engines late, it loses the lease, and the next host on such a link does the same.

Change: the datagrams to other hosts draw on a quarter of the host's link, a new setting link_mbps. Reports wait until the link has carried the ones before; changes that wait are merged, leaving targets go first, and the age of the oldest counts as age of the picture. A ledger counts as missing after 0.1 s; a host asks every 0.8 s and is sent at most 8 ledgers, if the link is free. Hosts that were heard lately pass ledgers on. Crashes go with regular ledgers only. An own call covers ledgers told before it was begun, not before it returned.

--- a/cassiarail/conf/edge.py
+++ b/cassiarail/conf/edge.py
@@ -51,7 +51,11 @@
 
 
 class EdgeSettings(TypedDict):
-    """Configure one process of ``cassiarail-edge``."""
+    """Configure one process of ``cassiarail-edge``.
+
+    ``link_mbps`` is the rate of the host's network link in Mbit/s; a quarter
+    of it at most goes to other hosts.
+    """
 
     name: str
     data_centre: str
@@ -62,6 +66,7 @@
     object_api: str
     registry: RegistrySettings
     bounds: BoundSettings
+    link_mbps: float
 
 
 _ADDRESSES = ('callers', 'peers', 'object_api')
@@ -93,6 +98,9 @@
         except ValueError:
             message = f'not an IP number and a port: {text!r}'
             problems.append(CheckMessage('S010', f'$.{name}', message))
+    if settings['link_mbps'] <= 0:
+        message = 'has to be positive'
+        problems.append(CheckMessage('S011', '$.link_mbps', message))
     problems.extend(
         CheckMessage('S011', f'$.bounds.{name}', 'has to be positive')
         for name, figure in settings['bounds'].items()
--- a/cassiarail/edge/broadcast.py
+++ b/cassiarail/edge/broadcast.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from cassiarail.core.clock import Clock
 from cassiarail.edge.messages import Ledger, Relay, encode_message
 from cassiarail.edge.peers import PeerLink
 from cassiarail.edge.traffic import TrafficKind
@@ -20,6 +21,12 @@
 _DIRECT_HOSTS = 4
 # Ledgers that are kept for hosts that miss some; a few seconds of orders.
 _KEPT_LEDGERS = 128
+# Ledgers that are sent again at one request. A host that misses more learns
+# targets by its own watch; hundreds for each host would fill the link.
+_MOST_REPEATS = 8
+# Hosts report every second; one that was not heard for longer may be cut off,
+# and a whole data centre would miss what it doesn't pass on.
+_ALIVE_S = 2.5
 
 
 class Host(NamedTuple):
@@ -44,8 +51,11 @@
         link: PeerLink,
         list_hosts: Callable[[], Iterable[Host]],
         generator: random.Random,
+        clock: Clock,
     ) -> None:
         self.number = 0
+        self._clock = clock
+        self._heard_at: dict[Address, float] = {}
         self._link = link
         self._list_hosts = list_hosts
         self._generator = generator
@@ -73,16 +83,22 @@
         for addresses in centres.values():
             self._send_to_centre(datagram, addresses)
 
+    def note_heard(self, address: Address) -> None:
+        """Note that a host has sent something."""
+        self._heard_at[address] = self._clock.monotonic()
+
     def resend(self, heard: int, address: Address) -> bool:
-        """Send the ledgers after ``heard``; tell whether all were kept."""
+        """Send the ledgers after ``heard`` again, unless they are too many."""
         missed = [kept for kept in self._kept if kept.number > heard]
+        if len(missed) < self.number - heard or len(missed) > _MOST_REPEATS:
+            return False
         for kept in missed:
             self._link.send_datagram(
                 kept.datagram,
                 address,
                 TrafficKind.REPEAT,
             )
-        return len(missed) == self.number - heard
+        return True
 
     def _send_to_centre(
         self,
@@ -97,10 +113,20 @@
                     TrafficKind.LEDGER,
                 )
             return
-        for relay in self._generator.sample(addresses, _RELAYS):
+        for relay in self._generator.sample(self._choose(addresses), _RELAYS):
             rest = [str(each) for each in addresses if each != relay]
             self._link.send(
                 Relay(datagram, rest),
                 relay,
                 TrafficKind.LEDGER,
             )
+
+    def _choose(self, addresses: list[Address]) -> list[Address]:
+        """Return the hosts that can pass a ledger on."""
+        oldest = self._clock.monotonic() - _ALIVE_S
+        alive = [
+            address
+            for address in addresses
+            if self._heard_at.get(address, float('-inf')) >= oldest
+        ]
+        return alive if len(alive) >= _RELAYS else addresses
--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -28,7 +28,7 @@
 from cassiarail.edge.suspects import CrashSuspects
 from cassiarail.edge.targets import TargetDirectory
 from cassiarail.edge.tenure import Tenure, TenureRules
-from cassiarail.edge.traffic import PeerTraffic
+from cassiarail.edge.traffic import PeerTraffic, TrafficRules
 from cassiarail.edge.waiting import PlacementWaits
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.routing.reach import ReachTracker
@@ -63,7 +63,11 @@
         generator: random.Random,
     ) -> None:
         self.suspects = CrashSuspects(clock)
-        self.traffic = PeerTraffic(clock, base.registry)
+        self.traffic = PeerTraffic(
+            clock,
+            TrafficRules(base.settings['link_mbps']),
+            base.registry,
+        )
         # How long ago the store answered while the registry is followed, or
         # negative; set when the watches are made.
         self.store_contact_s: Callable[[], float] = lambda: -1
@@ -112,10 +116,12 @@
                     link,
                     lambda: self._hosts.hosts,
                     self._generator,
+                    clock,
                 ),
                 self.feed,
                 lambda: self.store_contact_s(),
                 lambda: len(list(self._hosts.hosts)),
+                self.traffic,
             ),
             clock,
         )
--- a/cassiarail/edge/ledger_feed.py
+++ b/cassiarail/edge/ledger_feed.py
@@ -15,11 +15,11 @@
 # With an own call after that, the shortest bound on leaving targets (2 s)
 # holds also if the holder was cut off just before a change.
 _CONTACT_LIMIT_S = 1.2
-# A call to the store covers the ledgers that were told of this long before it
-# returned.
-_CALL_S = 0.2
-
-
+# Each ledger takes two ways, so that a later one may overtake it. One that is
+# missing for longer is lost.
+REORDER_S = 0.1
+# Ledgers that are missing are asked for again after this.
+_ASK_AGAIN_S = 0.8
 # Numbers that are remembered with their times; a second of many orders.
 _SEEN_NUMBERS = 64
 
@@ -44,12 +44,24 @@
             maxlen=_SEEN_NUMBERS,
         )
         self._contact_at = float('-inf')
+        self._asked_at = float('-inf')
 
     @property
-    def is_behind(self) -> bool:
-        """Tell whether a ledger is missing."""
+    def has_gap(self) -> bool:
+        """Tell whether a ledger is missing, perhaps only for a moment."""
         return self.heard < self._newest
 
+    @property
+    def is_behind(self) -> bool:
+        """Tell whether a ledger is missing that won't come by itself."""
+        if not self.has_gap:
+            return False
+        oldest = self._clock.monotonic() - REORDER_S
+        return any(
+            seen.number > self.heard and seen.at <= oldest
+            for seen in self._seen
+        )
+
     def take(self, ledger: Ledger) -> None:
         """Note a ledger of the current holder."""
         now = self._clock.monotonic()
@@ -70,10 +82,21 @@
         else:
             self._contact_at = now - ledger.contact_s
 
-    def note_own_call(self) -> None:
-        """Note that a watch has just returned all changes until now."""
-        oldest = self._clock.monotonic() - _CALL_S
-        while self._seen and self._seen[0].at <= oldest:
+    def begin_asking(self) -> bool:
+        """Tell whether to ask for a missing ledger now."""
+        now = self._clock.monotonic()
+        if not self.is_behind or now - self._asked_at < _ASK_AGAIN_S:
+            return False
+        self._asked_at = now
+        return True
+
+    def note_own_call(self, begun_at: float) -> None:
+        """Note that a call has returned all changes until it was begun.
+
+        Its answer may have been under way for long, so that it needn't show
+        what ledgers told meanwhile.
+        """
+        while self._seen and self._seen[0].at <= begun_at:
             self.heard = max(self.heard, self._seen.popleft().number)
         self._advance()
 
--- a/cassiarail/edge/pace.py
+++ b/cassiarail/edge/pace.py
@@ -36,9 +36,9 @@
         self._clock = clock
         self._is_fed = False
 
-    async def pause_targets(self) -> None:
-        """Wait before the next watch of targets."""
-        self._feed.note_own_call()
+    async def pause_targets(self, begun_at: float) -> None:
+        """Wait before the next watch; the last one was begun at a time."""
+        self._feed.note_own_call(begun_at)
         if self._is_holder():
             await self._clock.sleep(_HOLDER_PAUSE_S)
             return
--- a/cassiarail/edge/presence.py
+++ b/cassiarail/edge/presence.py
@@ -14,7 +14,7 @@
 from cassiarail.edge.fleet_demand import FleetDemand, list_rows
 from cassiarail.edge.following import log_target
 from cassiarail.edge.holder import OrderHolder
-from cassiarail.edge.ledger_feed import LedgerFeed
+from cassiarail.edge.ledger_feed import REORDER_S, LedgerFeed
 from cassiarail.edge.messages import (
     Digest,
     EngineRow,
@@ -27,10 +27,11 @@
 )
 from cassiarail.edge.peers import PeerLink
 from cassiarail.edge.rows import read_holdings, read_target
+from cassiarail.edge.sent_rows import SentRows
 from cassiarail.edge.suspects import CrashSuspects
 from cassiarail.edge.targets import Target, TargetDirectory
 from cassiarail.edge.tenure import Tenure
-from cassiarail.edge.traffic import TrafficKind
+from cassiarail.edge.traffic import PeerTraffic, TrafficKind
 from cassiarail.edge.waiting import PlacementWaits
 from cassiarail.http1.pool import Address
 
@@ -42,23 +43,17 @@
 # Losses are repeated for this long, so that a lost datagram doesn't matter.
 _LOSSES_WITHIN_S = 10.0
 _MAX_LOSSES = 20
-# What a wait for an urgent datagram gathers.
+# What a wait for an urgent datagram gathers, while the link is free.
 _GATHER_S = 0.002
+# A host that misses ledgers is answered while the link is free within this.
+_BUSY_S = 0.25
+# All engines are told again at most this often for hosts that miss too much.
+_RETELL_S = 2.0
 # Rows of one datagram; more would not fit in one packet.
 _MAX_ROWS = 8
-# All rows are repeated after this long, a few at each report.
-_REPEAT_REPORTS = 20
 _HOLDER_SILENT_S = 2.0
 
 
-class _Sent(NamedTuple):
-    """Hold what was sent of an engine."""
-
-    born_ms: int
-    order_count: int
-    models: dict[str, list[str]]
-
-
 class PresenceParts(NamedTuple):
     """Hold what a host reports from and to.
 
@@ -75,6 +70,7 @@
     feed: LedgerFeed
     store_contact_s: Callable[[], float]
     count_hosts: Callable[[], int]
+    traffic: PeerTraffic
 
 
 class Presence(Component):
@@ -102,13 +98,16 @@
             parts.directory,
             self._is_holder,
             self.report_soon,
+            clock,
         )
         self._holder_address: Address | None = None
         self._holder_heard_at = float('-inf')
         self._expected: dict[tuple[str, str], float] = {}
         self._is_urgent = False
         self._reports = 0
-        self._sent_rows: dict[str, _Sent] = {}
+        self._sent_rows = SentRows()
+        self._is_waiting_for_ledger = False
+        self._retold_at = float('-inf')
 
     async def start(self) -> None:
         """Bind the address of peers."""
@@ -132,11 +131,14 @@
         self._link.stop()
 
     def report_soon(self) -> None:
-        """Report without waiting for the interval."""
+        """Report as soon as the link has carried what was sent before."""
         if not self._is_urgent:
             self._is_urgent = True
             loop = asyncio.get_running_loop()
-            loop.call_later(_GATHER_S, self.report)
+            loop.call_later(
+                max(_GATHER_S, self._parts.traffic.delay_s()),
+                self.report,
+            )
 
     def report(self, *, is_regular: bool = False) -> None:
         """Send what has changed; regularly, also a part of the rest."""
@@ -156,6 +158,7 @@
         """Tell all hosts everything; this one gives orders from now on."""
         self._parts.broadcaster.begin()
         self._sent_rows.clear()
+        self._changes.clear()
         self._changes.note_all()
         self.report()
 
@@ -203,20 +206,25 @@
         self._parts.fleet_demand.take(digest)
         if self.holder is not None:
             self.holder.wake()
-        fence = self.tenure.fence if self.tenure else 0
-        if not (self._is_holder() and digest.is_behind):
+        broadcaster = self._parts.broadcaster
+        broadcaster.note_heard(sender)
+        is_busy = self._parts.traffic.delay_s() > _BUSY_S
+        if is_busy or not (self._is_holder() and digest.is_behind):
             return
+        fence = self.tenure.fence if self.tenure else 0
         heard = digest.heard if digest.fence == fence else 0
-        if not self._parts.broadcaster.resend(heard, sender):
+        now = self._clock.monotonic()
+        is_sent = broadcaster.resend(heard, sender)
+        if not is_sent and now - self._retold_at >= _RETELL_S:
             # The host's own watch shows the targets; only the ledgers tell
             # which adapters engines hold.
+            self._retold_at = now
             self._sent_rows.clear()
 
     def _take_ledger(self, ledger: Ledger) -> None:
         feed = self._parts.feed
         if ledger.fence < feed.fence or ledger.host == self._host:
             return
-        was_behind = feed.is_behind
         feed.take(ledger)
         self.host_count = max(self.host_count, ledger.hosts)
         if self.tenure is not None:
@@ -231,7 +239,14 @@
         self._holder_heard_at = self._clock.monotonic()
         self._set_expected(ledger.expected)
         self._take_rows(ledger)
-        if feed.is_behind and not was_behind:
+        if feed.has_gap and not self._is_waiting_for_ledger:
+            self._is_waiting_for_ledger = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(REORDER_S + _GATHER_S, self._ask_for_missing)
+
+    def _ask_for_missing(self) -> None:
+        self._is_waiting_for_ledger = False
+        if self._parts.feed.is_behind:
             self.report_soon()
 
     def _take_rows(self, ledger: Ledger) -> None:
@@ -268,41 +283,29 @@
             self._list_losses(),
             feed.fence,
             feed.heard,
-            feed.is_behind,
+            feed.begin_asking(),
         )
 
     def _send_ledgers(self, *, is_regular: bool) -> None:
+        """Send one ledger, and another one later if that didn't tell all."""
         if self.holder is None:
             return
-        engines = list(self._choose_engines(self.holder, is_regular=is_regular))
-        targets, gone = self._changes.take()
+        due = self._reports if is_regular else None
+        engines = self._sent_rows.choose(self.holder.list_rows(), due)
+        changes = self._changes.take(_MAX_ROWS)
         self.holder.wake()
         self._set_expected(self.holder.list_expected())
-        longest = max(len(engines), len(targets), len(gone))
-        if not longest and not is_regular:
-            return
-        for begin in range(0, max(1, longest), _MAX_ROWS):
-            part = slice(begin, begin + _MAX_ROWS)
-            ledger = self._make_ledger(engines[part])
-            ledger.targets = targets[part]
-            ledger.gone = gone[part]
+        if is_regular or engines or changes.targets or changes.gone:
+            ledger = self._make_ledger(engines[:_MAX_ROWS])
+            ledger.targets = changes.targets
+            ledger.gone = changes.gone
+            if is_regular:
+                ledger.losses = self._list_losses()
+            self._sent_rows.note(ledger.engines)
             self._parts.broadcaster.send(ledger)
-        self._parts.waits.wake()
-
-    def _choose_engines(
-        self,
-        holder: OrderHolder,
-        *,
-        is_regular: bool,
-    ) -> Iterator[EngineRow]:
-        """Yield the engines that changed, and regularly some others."""
-        turn = self._reports % _REPEAT_REPORTS
-        for index, row in enumerate(holder.list_rows()):
-            sent = _Sent(row.born_ms, row.order_count, row.models)
-            is_due = is_regular and index % _REPEAT_REPORTS == turn
-            if is_due or self._sent_rows.get(row.instance) != sent:
-                self._sent_rows[row.instance] = sent
-                yield row
+            self._parts.waits.wake()
+        if len(engines) > _MAX_ROWS or not self._changes.is_empty:
+            self.report_soon()
 
     def _make_ledger(self, rows: list[EngineRow]) -> Ledger:
         holder = self.holder
@@ -313,14 +316,24 @@
             str(self._link.address),
             self.tenure.fence if self.tenure else 0,
             0,
-            self._parts.store_contact_s(),
+            self._contact_s(),
             hosts,
             rows,
             holder.list_expected() if holder else [],
-            self._list_losses(),
+            [],
             self._parts.directory.list_leaving(),
         )
 
+    def _contact_s(self) -> float:
+        """Return how old the picture is that this host has told.
+
+        A change that waits for the link makes it older.
+        """
+        contact_s = self._parts.store_contact_s()
+        if contact_s < 0:
+            return contact_s
+        return max(contact_s, self._changes.waiting_s())
+
     def _set_expected(self, rows: Iterable[ExpectedRow]) -> None:
         now = self._clock.monotonic()
         self._expected = {
--- a/cassiarail/edge/traffic.py
+++ b/cassiarail/edge/traffic.py
@@ -1,7 +1,8 @@
-"""Count what this host sends to the others."""
+"""Count and pace what this host sends to the others."""
 
 import collections
 import enum
+from typing import NamedTuple
 
 from prometheus_client import CollectorRegistry
 from prometheus_client import Counter as CounterMetric
@@ -11,6 +12,7 @@
 from cassiarail.edge.events import PEER_TRAFFIC
 
 _PERIOD_S = 1.0
+_BYTES_PER_MBIT = 125_000
 # A twentieth of the narrowest link of the known deployments (5 Mbit/s) is
 # worth a line.
 _TOLD_BYTES = 32_768
@@ -25,15 +27,38 @@
     DIGEST = 'digest'
 
 
+class TrafficRules(NamedTuple):
+    """Bound what a host sends to others.
+
+    ``link_mbps`` is the rate of the host's link in Mbit/s, of which
+    ``link_share`` may go to other hosts; callers and engines need the rest.
+    ``most_bytes_per_s`` keeps a host with a wide link from sending more than
+    those with a narrow one can pass on.
+    """
+
+    link_mbps: float
+    link_share: float = 0.25
+    most_bytes_per_s: float = 512_000
+
+    @property
+    def bytes_per_s(self) -> float:
+        """Return the bound in bytes a second."""
+        own = self.link_mbps * _BYTES_PER_MBIT * self.link_share
+        return min(own, self.most_bytes_per_s)
+
+
 class PeerTraffic:
-    """Count datagrams, and log the seconds with many of them."""
+    """Count datagrams, pace them, and log the seconds with many of them."""
 
     def __init__(
         self,
         clock: Clock,
+        rules: TrafficRules,
         registry: CollectorRegistry | None = None,
     ) -> None:
         self._clock = clock
+        self._rules = rules
+        self._free_at = clock.monotonic()
         self._bytes: collections.Counter[str] = collections.Counter()
         self._datagrams = 0
         self._begun_at = clock.monotonic()
@@ -46,10 +71,17 @@
 
     def count(self, kind: TrafficKind, size: int) -> None:
         """Count a datagram that is sent."""
+        now = self._clock.monotonic()
+        self._free_at = max(now, self._free_at)
+        self._free_at += size / self._rules.bytes_per_s
         self._bytes[kind.value] += size
         self._datagrams += 1
         self._total.labels(kind.value).inc(size)
 
+    def delay_s(self) -> float:
+        """Return how long the link needs for what was sent so far."""
+        return max(0, self._free_at - self._clock.monotonic())
+
     def tell(self) -> None:
         """Log the last second if it had much traffic."""
         now = self._clock.monotonic()
--- a/cassiarail/edge/watches.py
+++ b/cassiarail/edge/watches.py
@@ -17,12 +17,13 @@
 class WatchHooks(NamedTuple):
     """Hold what the watches ask for and tell.
 
-    ``pause_targets`` is awaited after changes of targets.
+    ``pause_targets`` is awaited after changes of targets, with the time at
+    which the call that told them was begun.
     ``observe_lease`` is told the versions of the lease that were read.
     ``check_interval_s`` is the time between checks of the store.
     """
 
-    pause_targets: Callable[[], Awaitable[None]]
+    pause_targets: Callable[[float], Awaitable[None]]
     observe_lease: Callable[[int], None]
     check_interval_s: Callable[[], float]
 
--- a/cassiarail/store/watching.py
+++ b/cassiarail/store/watching.py
@@ -38,7 +38,7 @@
         """Prepare for the first answer after an outage."""
 
 
-async def _go_on() -> None:
+async def _go_on(_begun_at: float) -> None:
     """Watch again at once."""
 
 
@@ -52,9 +52,12 @@
         follower: Follower,
         clock: Clock,
         generator: random.Random,
-        pause: Callable[[], Awaitable[None]] = _go_on,
+        pause: Callable[[float], Awaitable[None]] = _go_on,
     ) -> None:
-        """Await ``pause`` after changes, so that one call brings several."""
+        """Await ``pause`` after changes, so that one call brings several.
+
+        It is given the time at which the call was begun.
+        """
         self.kind = kind
         self._pause = pause
         self.has_listed = False
@@ -92,6 +95,7 @@
         self._scope.cancel()
 
     async def _advance(self) -> None:
+        begun_at = self._clock.monotonic()
         if self._revision is None:
             listing = await self._store.list_objects(self.kind)
             self._note_success()
@@ -107,7 +111,7 @@
         self._note_success()
         self._follower.take_batch(batch)
         self._revision = batch.revision
-        await self._pause()
+        await self._pause(begun_at)
 
     async def _wait_after(self, error: StoreError) -> None:
         if not self._failures:
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -121,4 +121,5 @@
                 'configuration_name': 'main',
             },
             'bounds': BOUNDS,
+            'link_mbps': 1000,
         }
