Keep removed targets only after an outage of the store, and only once

Cause: the patience for entries that lapse while the store is away was begun at each return of any call, also where one watch had been cut while the store was fine, or the process had reconnected. When it ended for an entry and a newer patience was running, the entry was kept again, without an end if the path to the store came and went. Besides, a wait that was given up counted as an answer.

Change: StoreContact notes every answer of the store. Only one that comes after two heartbeats of targets without any (a new setting, heartbeat_s) begins the patience; shorter gaps let no entry lapse. At its end an entry is forgotten whatever began since.

--- a/cassiarail/conf/edge.py
+++ b/cassiarail/conf/edge.py
@@ -25,12 +25,14 @@
     """Name the objects of the store that others write.
 
     ``targets`` is the kind of the targets' entries; the configuration is the
-    object ``configuration_name`` of the kind ``configuration``.
+    object ``configuration_name`` of the kind ``configuration``. Targets write
+    their entries anew every ``heartbeat_s`` seconds.
     """
 
     targets: str
     configuration: str
     configuration_name: str
+    heartbeat_s: float
 
 
 class BoundSettings(TypedDict):
@@ -101,6 +103,9 @@
     if settings['link_mbps'] <= 0:
         message = 'has to be positive'
         problems.append(CheckMessage('S011', '$.link_mbps', message))
+    if settings['registry']['heartbeat_s'] <= 0:
+        message = 'has to be positive'
+        problems.append(CheckMessage('S011', '$.registry.heartbeat_s', message))
     problems.extend(
         CheckMessage('S011', f'$.bounds.{name}', 'has to be positive')
         for name, figure in settings['bounds'].items()
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -184,6 +184,7 @@
                 pace.pause_targets,
                 self._control.lease.observe,
                 pace.check_interval_s,
+                self._follower.begin_return,
             ),
         )
         self._control.store_contact_s = self._watches.contact_s
--- a/cassiarail/edge/targets.py
+++ b/cassiarail/edge/targets.py
@@ -88,7 +88,7 @@
     """Hold the targets that the registry lists.
 
     While the registry returns from an outage, targets that are missing are
-    kept for ``RETURN_PATIENCE_S``, unless they had said that they leave.
+    kept for ``RETURN_PATIENCE_S`` once, unless they had said that they leave.
     """
 
     def __init__(self, now: Callable[[], float]) -> None:
@@ -217,8 +217,8 @@
             if now >= until
         ]
         for instance in gone:
-            self._missing.pop(instance)
-            self.remove(instance)
+            # A further return of the registry grants no second patience.
+            self._forget(self._targets[instance])
         return gone
 
     def learn_holdings(
--- a/cassiarail/edge/watches.py
+++ b/cassiarail/edge/watches.py
@@ -10,9 +10,14 @@
 from cassiarail.core.clock import Clock
 from cassiarail.core.lifecycle import Component
 from cassiarail.store.backends.base import ObjectStore
+from cassiarail.store.contact import StoreContact
 from cassiarail.store.guard import Checkable, StoreGuard
 from cassiarail.store.watching import Follower, KindWatcher
 
+# Entries lapse after three heartbeats of silence; the one before the outage may
+# be as old as a whole interval.
+_HEARTBEATS_TO_LAPSE = 2
+
 
 class WatchHooks(NamedTuple):
     """Hold what the watches ask for and tell.
@@ -21,11 +26,13 @@
     which the call that told them was begun.
     ``observe_lease`` is told the versions of the lease that were read.
     ``check_interval_s`` is the time between checks of the store.
+    ``begin_return`` is called at the first answer after an outage.
     """
 
     pause_targets: Callable[[float], Awaitable[None]]
     observe_lease: Callable[[int], None]
     check_interval_s: Callable[[], float]
+    begin_return: Callable[[], None]
 
 
 class Watches(Component):
@@ -45,6 +52,11 @@
         hooks: WatchHooks,
     ) -> None:
         self._checkable = checkable
+        contact = StoreContact(
+            clock,
+            _HEARTBEATS_TO_LAPSE * registry['heartbeat_s'],
+            hooks.begin_return,
+        )
         self._targets = KindWatcher(
             store,
             registry['targets'],
@@ -52,6 +64,7 @@
             clock,
             generator,
             hooks.pause_targets,
+            on_answer=contact.note_answer,
         )
         self._configuration = KindWatcher(
             store,
@@ -59,6 +72,7 @@
             configuration,
             clock,
             generator,
+            on_answer=contact.note_answer,
         )
         self._guard = StoreGuard(
             checkable,
@@ -67,6 +81,7 @@
             generator.random,
             hooks.observe_lease,
             hooks.check_interval_s,
+            contact.note_answer,
         )
 
     @property
--- a/cassiarail/store/events.py
+++ b/cassiarail/store/events.py
@@ -25,6 +25,11 @@
     level=logging.INFO,
     summary='watch of the object API works again',
 )
+OUTAGE_ENDED = define_event(
+    number=4115,
+    level=logging.INFO,
+    summary='object API answers after an outage; entries may have lapsed',
+)
 WATCH_EXPIRED = define_event(
     number=4112,
     level=logging.INFO,
--- a/cassiarail/store/guard.py
+++ b/cassiarail/store/guard.py
@@ -46,12 +46,14 @@
         jitter: Callable[[], float],
         observe: Callable[[int], None],
         interval_s: Callable[[], float],
+        on_answer: Callable[[], None],
     ) -> None:
         """Hand versions of the lease to ``observe``.
 
         ``jitter`` returns a number from 0 to 1, ``interval_s`` the time
-        between checks.
+        between checks. ``on_answer`` is called at each answer.
         """
+        self._on_answer = on_answer
         self._interval_s = interval_s
         self._contact_at = float('-inf')
         self._observe = observe
@@ -83,6 +85,7 @@
             self.is_reachable = False
             return
         self._contact_at = begun_at
+        self._on_answer()
         if version is not None:
             self._observe(version)
         if not self.is_reachable:
--- a/cassiarail/store/watching.py
+++ b/cassiarail/store/watching.py
@@ -34,14 +34,15 @@
     def take_batch(self, batch: WatchBatch) -> None:
         """Take changes."""
 
-    def begin_return(self) -> None:
-        """Prepare for the first answer after an outage."""
-
 
 async def _go_on(_begun_at: float) -> None:
     """Watch again at once."""
 
 
+def _ignore_answer() -> None:
+    """Take no notice of an answer."""
+
+
 class KindWatcher:
     """List the objects of a kind once, then watch them."""
 
@@ -53,13 +54,16 @@
         clock: Clock,
         generator: random.Random,
         pause: Callable[[float], Awaitable[None]] = _go_on,
+        on_answer: Callable[[], None] = _ignore_answer,
     ) -> None:
         """Await ``pause`` after changes, so that one call brings several.
 
-        It is given the time at which the call was begun.
+        It is given the time at which the call was begun. Call ``on_answer``
+        before an answer is taken.
         """
         self.kind = kind
         self._pause = pause
+        self._on_answer = on_answer
         self.has_listed = False
         self._store = store
         self._follower = follower
@@ -78,11 +82,10 @@
                     await self._advance()
             except WatchExpiredError:
                 emit_event(WATCH_EXPIRED, kind=self.kind)
+                self._on_answer()
                 self._revision = None
             except StoreError as error:
                 await self._wait_after(error)
-            else:
-                self._note_success()
 
     @property
     def is_following(self) -> bool:
@@ -91,7 +94,6 @@
 
     def resume_after_outage(self) -> None:
         """Drop a wait that an outage may have left without an answer."""
-        self._follower.begin_return()
         self._scope.cancel()
 
     async def _advance(self) -> None:
@@ -131,4 +133,4 @@
                 failures=self._failures,
             )
             self._failures = 0
-            self._follower.begin_return()
+        self._on_answer()
--- a/tests/edge/test_targets.py
+++ b/tests/edge/test_targets.py
@@ -41,6 +41,18 @@
     assert not directory.of_service('s')
 
 
+def test_a_second_return_grants_no_second_patience():
+    # A store that came and went kept removed targets in use without an end.
+    directory, clock = make(TARGET)
+    directory.begin_patience()
+    directory.remove('i', 5)
+    clock.advance(RETURN_PATIENCE_S - 0.1)
+    directory.begin_patience()
+    clock.advance(0.1)
+    assert directory.expire() == ['i']
+    assert not directory.of_service('s')
+
+
 def test_a_target_that_returns_stays():
     directory, clock = make(TARGET)
     directory.begin_patience()
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -119,6 +119,7 @@
                 'targets': 'servers',
                 'configuration': 'config',
                 'configuration_name': 'main',
+                'heartbeat_s': 1.2,
             },
             'bounds': BOUNDS,
             'link_mbps': 1000,
