Leave giving orders to hosts with wide links

Cause: each host competed for the lease at once, whatever its link.

Change: a host whose link is narrower than 100 Mbit/s competes 3 s later, and 0.4 s later for a lease that was given back. A process that has just started still takes its machine's own lease over at once. Where all links are narrow, one of them gives orders 3 s later than before. Bounding the traffic is what keeps such a host alive; this keeps its link for callers.

Tests in tests/edge/test_tenure.py: a narrow host leaves the lease, takes one that nobody takes, takes one given back, and retakes its own.

--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -41,6 +41,13 @@
 _WRITE_PATIENCE_S = 1.0
 
 
+# Ledgers for the largest known fleet take 4 Mbit/s of the holder's link. A host
+# whose link is narrower than this leaves giving orders to others, until a
+# lapsed lease would have been taken by one of them.
+_WIDE_LINK_MBPS = 100
+_NARROW_PATIENCE_S = 3.0
+
+
 class ControlBase(NamedTuple):
     """Hold what the control parts share with the forwarding path."""
 
@@ -150,7 +157,11 @@
         self._tenure = Tenure(
             self.lease,
             clock,
-            TenureRules(_LEASE_S, bounds['lease_s'] + ORDER_TIMEOUT_S),
+            TenureRules(
+                _LEASE_S,
+                bounds['lease_s'] + ORDER_TIMEOUT_S,
+                patience_s=_find_patience(settings['link_mbps']),
+            ),
             self._generator.random,
             self._change_tenure,
         )
@@ -178,3 +189,8 @@
         else:
             self.holder.end()
             self.presence.resign()
+
+
+def _find_patience(link_mbps: float) -> float:
+    """Return for how long a host leaves the lease to others."""
+    return 0 if link_mbps >= _WIDE_LINK_MBPS else _NARROW_PATIENCE_S
--- a/cassiarail/edge/tenure.py
+++ b/cassiarail/edge/tenure.py
@@ -23,7 +23,9 @@
 
     ``between_s`` has to pass between orders of two holders to one engine.
     Orders end ``stop_early_s`` before the lease does. Other hosts try to
-    take the lease when the holder was silent for ``silence_s``.
+    take the lease when the holder was silent for ``silence_s``. A host that
+    is less fit to give orders leaves the lease to others for ``patience_s``
+    more, and for ``handover_s`` at most once it was given back.
     """
 
     lease_s: float
@@ -31,6 +33,8 @@
     stop_early_s: float = 0.4
     silence_s: float = 1.2
     renewals_per_lease: int = 3
+    patience_s: float = 0
+    handover_s: float = 0.4
 
     @property
     def quiet_s(self) -> float:
@@ -71,8 +75,9 @@
         self._rules = rules
         self._jitter = jitter
         self._on_change = on_change
-        self._heard_at = float('-inf')
+        self._compete_at = clock.monotonic() + rules.patience_s
         self._renew_at = float(0)
+        self._has_looked = False
         self._is_holder = False
         self._is_stopping = False
         self._has_failed = False
@@ -101,7 +106,9 @@
 
     def hear_holder(self) -> None:
         """Note that another host holds the lease and is alive."""
-        self._heard_at = self._clock.monotonic()
+        rules = self._rules
+        silence_s = rules.silence_s + rules.patience_s
+        self._compete_at = self._clock.monotonic() + silence_s
 
     def hear_resignation(self, fence: int, idle_s: Mapping[str, float]) -> None:
         """Note that a holder gives no more orders.
@@ -109,8 +116,9 @@
         ``idle_s`` tells how long ago it gave each engine its last order.
         """
         now = self._clock.monotonic()
-        self._heard_at = float('-inf')
-        between_s = self._rules.between_s
+        rules = self._rules
+        self._compete_at = now + min(rules.patience_s, rules.handover_s)
+        between_s = rules.between_s
         self._resigned = Resignation(
             fence,
             {
@@ -138,16 +146,22 @@
             await self._lease.release()
 
     def _may_compete(self) -> bool:
-        now = self._clock.monotonic()
         if self._is_holder:
-            return now >= self._renew_at
-        return now - self._heard_at > self._rules.silence_s
+            return self._clock.monotonic() >= self._renew_at
+        # A process that has just started may own the lease of the one before.
+        return self._is_due() or not self._has_looked
+
+    def _is_due(self) -> bool:
+        """Tell whether this host may take the lease from another one."""
+        return self._clock.monotonic() >= self._compete_at
 
     async def _attempt(self) -> None:
         rules = self._rules
         self._lease.quiet_s = self._quiet_left_s()
         try:
-            await self._lease.attempt()
+            await self._lease.attempt(
+                only_own=not self._is_holder and not self._is_due(),
+            )
         except StoreError as error:
             if not self._has_failed:
                 emit_event(RENEWAL_FAILED, error=error.message)
@@ -162,6 +176,7 @@
                 self._end('store is out of reach')
         else:
             self._has_failed = False
+            self._has_looked = True
         now = self._clock.monotonic()
         self._renew_at = now + rules.lease_s / rules.renewals_per_lease
         if self._lease.is_held() and not self._is_holder:
--- a/cassiarail/store/leases.py
+++ b/cassiarail/store/leases.py
@@ -119,14 +119,15 @@
             return 0
         return max(0, self._valid_until - self._clock.monotonic())
 
-    async def attempt(self) -> bool:
+    async def attempt(self, *, only_own: bool = False) -> bool:
         """Acquire or renew the lease; tell whether it is held.
 
-        Raises ``StoreError`` if the object API can't be used; the lease then
-        lapses by the clock.
+        With ``only_own``, a lease is taken over only from an earlier process
+        of this machine. Raises ``StoreError`` if the object API can't be used;
+        the lease then lapses by the clock.
         """
         try:
-            await self._advance()
+            await self._advance(only_own=only_own)
         except VersionConflictError:
             self._forget()
         return self.is_held()
@@ -145,13 +146,14 @@
             # The lease lapses by itself.
             return
 
-    async def _advance(self) -> None:
+    async def _advance(self, *, only_own: bool) -> None:
         if self._own is not None:
             await self._take(self._own, self.fence)
             return
         found = await self._writer.store.read(LEASE_KIND, self.name)
         if found is None:
-            await self._take(None, 1)
+            if not only_own:
+                await self._take(None, 1)
             return
         document = found.document
         if document['holder'] == self.holder:
@@ -160,7 +162,7 @@
             self.was_released = False
             self.inherited_quiet_s = document.get('quiet_s')
             await self._take(found, document['fence'] + 1)
-        elif self._has_lapsed(found):
+        elif self._has_lapsed(found) and not only_own:
             self.was_released = self._is_released(found)
             self.inherited_quiet_s = None
             await self._take(found, document['fence'] + 1)
--- a/tests/edge/test_tenure.py
+++ b/tests/edge/test_tenure.py
@@ -29,7 +29,7 @@
 class Member:
     """Hold a host's tenure and its path to the store."""
 
-    def __init__(self, name, clock, store, process=0):
+    def __init__(self, name, clock, store, process=0, rules=RULES):
         generator = random.Random(f'{name}{process}')
         self.lease = Lease(
             ConditionalWriter(store, clock, generator, 1),
@@ -42,7 +42,7 @@
         )
         self.heard = []
         self.tenure = Tenure(
-            self.lease, clock, RULES, lambda: 0.5, self.heard.append
+            self.lease, clock, rules, lambda: 0.5, self.heard.append
         )
 
 
@@ -197,3 +197,58 @@
     drive(member.tenure._attempt())
     clock.advance(RULES.lease_s)
     assert not member.tenure.may_order('x')
+
+
+PATIENT = RULES._replace(patience_s=3)
+
+
+def compete(member):
+    """Let a host try if it may; tell whether it holds the lease then."""
+    if member.tenure._may_compete():
+        drive(member.tenure._attempt())
+    return member.tenure.is_held()
+
+
+def test_a_host_on_a_narrow_link_leaves_the_lease_to_others():
+    # Eleven holders on such links lost the lease within seconds, one by one.
+    clock = ManualClock()
+    store = MemoryObjectStore()
+    narrow = Member('a', clock, store, rules=PATIENT)
+    wide = Member('b', clock, store)
+    clock.advance(0.1)
+    assert not compete(narrow)
+    assert compete(wide)
+
+
+def test_a_host_on_a_narrow_link_takes_the_lease_if_nobody_else_does():
+    clock = ManualClock()
+    narrow = Member('a', clock, MemoryObjectStore(), rules=PATIENT)
+    assert not compete(narrow)
+    clock.advance(PATIENT.patience_s + 0.1)
+    assert compete(narrow)
+
+
+def test_a_lease_that_was_given_back_is_soon_taken_on_a_narrow_link():
+    clock = ManualClock()
+    store = MemoryObjectStore()
+    first = Member('b', clock, store)
+    narrow = Member('a', clock, store, rules=PATIENT)
+    clock.advance(0.1)
+    assert compete(first)
+    narrow.tenure.hear_holder()
+    fence = first.tenure.fence
+    drive(first.tenure.drain())
+    narrow.tenure.hear_resignation(fence, {})
+    clock.advance(PATIENT.handover_s + 0.1)
+    assert compete(narrow)
+
+
+def test_a_restarted_process_on_a_narrow_link_retakes_its_lease_at_once():
+    clock = ManualClock()
+    store = MemoryObjectStore()
+    first = Member('a', clock, store, rules=PATIENT)
+    clock.advance(PATIENT.patience_s + 0.1)
+    assert compete(first)
+    again = Member('a', clock, store, process=1, rules=PATIENT)
+    assert compete(again)
+    assert again.tenure.fence == 2
