Ask whether a target leaves right before sending to it

A request whose target was chosen waited up to 0.5 s for a connection and was then sent, even if the news that the target leaves had come meanwhile. The bound runs from the news on, so this took a sixth of it.

The attempt looks at the directory once more when it has a connection, and ends as not run if the target leaves; the connection goes back unused. test_a_target_that_leaves_while_a_connection_opens_gets_no_request fails on the code before: the request is received and answered with 200.

--- a/cassiarail/edge/attempts.py
+++ b/cassiarail/edge/attempts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import http
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple, TypeVar
 
 from cassiarail.core.events import emit_event
@@ -66,8 +66,11 @@
         dialect: Dialect,
         choice: EarliestChoice,
         reach: ReachTracker,
+        may_send: Callable[[Target], bool],
         rules: AttemptRules | None = None,
     ) -> None:
+        """Ask ``may_send`` once more right before a request leaves."""
+        self._may_send = may_send
         self._pool = pool
         self._dialect = dialect
         self._choice = choice
@@ -96,6 +99,9 @@
         except ConnectFailedError as error:
             self._reach.fail(target.identity)
             return AttemptResult(Outcome.NOT_RUN, error.message)
+        if not self._may_send(target):
+            self._pool.release(connection)
+            return AttemptResult(Outcome.NOT_RUN, 'target is leaving')
         job.in_flight = True
         self._reach.begin(target.identity)
         try:
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -136,6 +136,7 @@
                     self._links.dialect,
                     self._choice,
                     self._reach,
+                    self._directory.takes_requests,
                 ),
                 outliers=self._outliers,
                 waits=self._control.waits,
--- a/cassiarail/edge/targets.py
+++ b/cassiarail/edge/targets.py
@@ -115,6 +115,13 @@
         """Return a target by the name of its instance."""
         return self._targets.get(instance)
 
+    def takes_requests(self, target: Target) -> bool:
+        """Tell whether this start of a target may be sent new requests."""
+        known = self._targets.get(target.instance)
+        if known is None or known.identity != target.identity:
+            return False
+        return not known.is_leaving
+
     def of_service(self, service: str) -> list[Target]:
         """Return the targets of a service that take new requests."""
         return [
--- a/cassiarail/http1/connections.py
+++ b/cassiarail/http1/connections.py
@@ -135,6 +135,8 @@
         if self.is_closed or self._transport is None:
             return False
         parser = self._parser
+        if parser.our_state is h11.IDLE:
+            return True
         is_done = (
             parser.our_state is h11.DONE and parser.their_state is h11.DONE
         )
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -105,7 +105,13 @@
                 TargetSelector(
                     self.directory, choice, self.outliers, self.reach, 'dc'
                 ),
-                AttemptRunner(self.pool, dialect, choice, self.reach),
+                AttemptRunner(
+                    self.pool,
+                    dialect,
+                    choice,
+                    self.reach,
+                    self.directory.takes_requests,
+                ),
                 self.outliers,
                 self.waits,
                 DemandMeter(self.clock),
--- a/tests/edge/test_forwarding.py
+++ b/tests/edge/test_forwarding.py
@@ -301,6 +301,26 @@
     play(main)
 
 
+def test_a_target_that_leaves_while_a_connection_opens_gets_no_request():
+    # The news came after the choice, and the request was sent all the same.
+    async def main():
+        async with ScriptedServer(serve(answer())) as server, Fleet() as host:
+            host.add(server, 'i-0')
+            acquire = host.pool.acquire
+
+            async def acquire_slowly(*asked):
+                connection = await acquire(*asked)
+                host.directory.learn_leaving(('i-0', 1))
+                return connection
+
+            host.pool.acquire = acquire_slowly
+            received = await host.ask('file', body=b'body')
+            assert received.startswith(b'HTTP/1.1 503')
+            assert not server.received
+
+    play(main)
+
+
 def test_a_filing_runs_on_when_its_caller_leaves():
     # Torn from its engine halfway, a filing may be half done.
     async def script(server, reader, writer):
