Cancel the work for a client that leaves without reading

Engines worked on for callers that had left (GONE).

Cause: at the end of a client's bytes the connection was closed in the plain way, which first sends what is buffered. A client that has left reads nothing, and on a full link even one that still does gets it late; only then was the request cancelled, so that its engine worked on meanwhile.

Change: the end of the client's bytes cancels the request and drops the connection. test_a_client_that_leaves_unread_bytes_cancels_its_request_at_once fails on the code before (not cancelled within a second).

--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -67,16 +67,21 @@
         self._read_request()
 
     def eof_received(self) -> bool:
-        """Treat a client that sends no more as one that has left."""
+        """Treat a client that sends no more as one that has left.
+
+        A plain close would wait for the bytes that it hasn't read.
+        """
+        if self.is_answering:
+            self._cancel_answer()
+            if self._transport is not None:
+                self._transport.abort()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the work for a client that has left."""
-        self._writer.give_up()
+        self._cancel_answer()
         self._cancel_timer()
         self._listener.remove(self)
-        if self._task is not None and self.is_answering:
-            self._task.cancel()
 
     def pause_writing(self) -> None:
         """Hold pieces back while the client doesn't read."""
@@ -165,6 +170,11 @@
         self._writer.refuse(error.status, error.reason)
         self.close()
 
+    def _cancel_answer(self) -> None:
+        self._writer.give_up()
+        if self._task is not None and self.is_answering:
+            self._task.cancel()
+
     def _end_slow(self) -> None:
         self._refuse(
             UnreadRequestError(
--- a/tests/http1/test_listener.py
+++ b/tests/http1/test_listener.py
@@ -162,6 +162,38 @@
     play(main)
 
 
+def test_a_client_that_leaves_unread_bytes_cancels_its_request_at_once():
+    # The close waited until they were sent, and a target worked on (GONE).
+    async def flood(exchange):
+        exchange.begin_stream(200, [])
+        try:
+            while True:
+                await exchange.send_piece(b'x' * 65536)
+        except asyncio.CancelledError:
+            host.cancelled.set()
+            raise
+
+    host = Host(handler=flood)
+
+    async def main():
+        async with host:
+            _reader, writer = await asyncio.open_connection(
+                *host.address,
+                limit=1024,
+            )
+            writer.write(get())
+            await writer.drain()
+            while not host.listener.in_progress:
+                await asyncio.sleep(0)
+            # The client reads nothing more, so that bytes pile up.
+            await asyncio.sleep(0.2)
+            writer.write_eof()
+            async with asyncio.timeout(1):
+                await host.cancelled.wait()
+
+    play(main)
+
+
 def test_a_stopping_listener_announces_the_close():
     async def main():
         async with Host() as host:
