Remember the removal of an entry that is not known yet

A host that missed the ledger with a new target and got the one with its removal dropped the removal, as there was nothing to remove. When the missed ledger was sent again, the target came back and got requests until the host's own watch returned, up to 12 s later.

The revision of a removal is kept in either case, so that older news change nothing. test_an_entry_whose_removal_came_first_is_not_taken fails on the code before (the target is known).

--- a/cassiarail/edge/targets.py
+++ b/cassiarail/edge/targets.py
@@ -171,8 +171,11 @@
         whether the target is known no more.
         """
         target = self._targets.get(instance)
-        if target is None or self._is_outdated(instance, revision):
-            return target is None
+        if target is None:
+            self._note_gone(instance, revision)
+            return True
+        if self._is_outdated(instance, revision):
+            return False
         self._gone_at[instance] = max(revision, target.revision)
         if self._now() < self._patient_until and not target.is_leaving:
             self._missing.setdefault(instance, self._patient_until)
@@ -186,7 +189,10 @@
         Tells whether the target was known until now.
         """
         target = self._targets.get(instance)
-        if target is None or self._is_outdated(instance, revision):
+        if target is None:
+            self._note_gone(instance, revision)
+            return False
+        if self._is_outdated(instance, revision):
             return False
         self._gone_at[instance] = max(revision, target.revision)
         self._forget(target)
@@ -206,6 +212,13 @@
         self.version += 1
         self.on_gone(instance, self._gone_at.get(instance, 0))
 
+    def _note_gone(self, instance: str, revision: int) -> None:
+        """Note a removal, also of an entry that is not known yet."""
+        self._gone_at[instance] = max(
+            revision,
+            self._gone_at.get(instance, 0),
+        )
+
     def _is_outdated(self, instance: str, revision: int) -> bool:
         """Tell whether news of a revision are older than what is known."""
         if not revision:
--- a/tests/edge/test_targets.py
+++ b/tests/edge/test_targets.py
@@ -122,6 +122,16 @@
     assert not held.serves(Want('n', 'a1'))
 
 
+def test_an_entry_whose_removal_came_first_is_not_taken():
+    # A ledger that was sent again brought a target back that had left.
+    directory, _clock = make()
+    directory.drop('i', 7)
+    directory.put(TARGET._replace(revision=6))
+    assert directory.get('i') is None
+    directory.put(TARGET._replace(revision=8))
+    assert directory.get('i')
+
+
 def test_older_news_of_an_entry_change_nothing():
     # Ledgers and the own watch may bring versions in any order.
     directory, _clock = make(TARGET._replace(revision=5))
