Take no contact to the store from a ledger that was sent again

A holder answered a request for missing ledgers with the datagrams as they were first sent, and with them with how long ago it had heard from the store at that time. A host that got them relied on a holder that was cut off for 1.2 s more.

Only a ledger with a new number, or a beat, tells of the contact. test_a_ledger_that_is_sent_again_tells_no_new_contact fails on the code before (the feed counts as current).

--- a/cassiarail/edge/ledger_feed.py
+++ b/cassiarail/edge/ledger_feed.py
@@ -20,6 +20,7 @@
 REORDER_S = 0.1
 # Ledgers that are missing are asked for again after this.
 _ASK_AGAIN_S = 0.8
+_NEVER = float('-inf')
 # Numbers that are remembered with their times; a second of many orders.
 _SEEN_NUMBERS = 64
 
@@ -43,8 +44,8 @@
         self._seen: collections.deque[_Seen] = collections.deque(
             maxlen=_SEEN_NUMBERS,
         )
-        self._contact_at = float('-inf')
-        self._asked_at = float('-inf')
+        self._contact_at = _NEVER
+        self._asked_at = _NEVER
 
     @property
     def has_gap(self) -> bool:
@@ -71,16 +72,18 @@
             self._newest = 0
             self._early.clear()
             self._seen.clear()
+        # A ledger that was sent again tells an old contact.
+        is_beat = ledger.number == self._newest and not ledger.has_rows
+        is_new = ledger.number > self._newest or is_beat
         if ledger.number > self._newest:
             self._newest = ledger.number
             self._seen.append(_Seen(now, ledger.number))
         if ledger.has_rows and ledger.number > self.heard:
             self._early.add(ledger.number)
             self._advance()
-        if ledger.contact_s < 0:
-            self._contact_at = float('-inf')
-        else:
-            self._contact_at = now - ledger.contact_s
+        if is_new:
+            known = ledger.contact_s >= 0
+            self._contact_at = now - ledger.contact_s if known else _NEVER
 
     def begin_asking(self) -> bool:
         """Tell whether to ask for a missing ledger now."""
--- a/tests/edge/test_ledger_feed.py
+++ b/tests/edge/test_ledger_feed.py
@@ -153,6 +153,19 @@
     assert not feed.is_current()
 
 
+def test_a_ledger_that_is_sent_again_tells_no_new_contact():
+    # A holder that was cut off from the store went on answering requests for
+    # ledgers, and hosts went on relying on it.
+    clock = ManualClock()
+    feed = LedgerFeed(clock)
+    ledger = make_ledger(number=1, gone=[GoneRow('a', 1)])
+    feed.take(ledger)
+    feed.take(make_ledger(number=1, contact_s=-1))
+    assert not feed.is_current()
+    feed.take(ledger)
+    assert not feed.is_current()
+
+
 def test_another_holder_begins_its_own_numbers():
     feed = LedgerFeed(ManualClock())
     feed.take(make_ledger(number=9))
