Let the soak check requests to leaving engines and work for nobody

Engines now leave with or without a word, serve on for 2.5 to 5 s and record what still arrives; a part of the streams is slow, and a part of the clients leave early. The judge names requests that reach an engine over 2 s after it left, and work that goes on for over half a second after its client left in more than a quarter of the cases, where host, engine and store had no trouble for 3 s. Tests show the judge both kinds, and what it excuses.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,6 +9,9 @@
 
 _CHUNK = 65536
 DEADLINE_S = 3.0
+# Some clients leave long before their deadline.
+LEAVING_SHARE = 0.15
+LEAVING_S = (0.05, 1.0)
 HOST = 'soak.example'
 
 
@@ -32,7 +35,8 @@
     """Record one request: what was asked, where, and what came back.
 
     ``status`` is 0 if no whole head came. ``is_whole`` tells whether the
-    answer ended as its framing says.
+    answer ended as its framing says, ``has_left`` whether the client closed
+    its connection before that.
     """
 
     request_id: str
@@ -44,6 +48,7 @@
     headers: dict
     body: bytes
     is_whole: bool
+    has_left: bool = False
 
 
 class Connection:
@@ -56,16 +61,25 @@
         self._reader = None
         self._writer = None
 
-    async def call(self, request_id, kind, model, deadline_s=DEADLINE_S):
-        """Send one request and read its answer within the deadline."""
+    async def call(
+        self,
+        request_id,
+        kind,
+        model,
+        patience_s=DEADLINE_S,
+        deadline_s=DEADLINE_S,
+    ):
+        """Send one request and read its answer; leave when patience ends."""
         sent_at = time.monotonic()
         got = {'status': 0, 'headers': {}, 'body': b'', 'is_whole': False}
+        has_left = False
         try:
-            async with asyncio.timeout(deadline_s):
+            async with asyncio.timeout(min(patience_s, deadline_s)):
                 if not self.is_open:
                     await self._open()
                 await self._exchange(request_id, kind, model, got, deadline_s)
-        except (OSError, TimeoutError, h11.ProtocolError):
+        except (OSError, h11.ProtocolError, TimeoutError) as error:
+            has_left = isinstance(error, TimeoutError)
             self.close()
         return Call(
             request_id,
@@ -74,6 +88,7 @@
             sent_at,
             time.monotonic(),
             **got,
+            has_left=has_left,
         )
 
     def close(self):
@@ -172,7 +187,10 @@
         kind = generator.choices(KINDS, (25, 15, 40, 20))[0]
         connection = self._choose_connection()
         model = generator.choices(self._models, (60, 25, 10, 5))[0]
-        call = await connection.call(request_id, kind, model)
+        patience_s = DEADLINE_S
+        if generator.random() < LEAVING_SHARE:
+            patience_s = generator.uniform(*LEAVING_S)
+        call = await connection.call(request_id, kind, model, patience_s)
         self.calls.append(call)
         if connection.is_open:
             self._idle.append(connection)
--- a/tests/soak/drill.py
+++ b/tests/soak/drill.py
@@ -1,6 +1,7 @@
 """Play one seeded run: processes, traffic and faults that overlap."""
 
 import asyncio
+import contextlib
 import pathlib
 import random
 import signal
@@ -18,6 +19,7 @@
 )
 from tests.soak.links import MODES
 from tests.soak.store import Store
+from tests.soak.touch import STORE, Trouble
 
 ZONES = ('za', 'zb', 'zc')
 # From the end of the last fault to the requests that have to be served; the
@@ -25,6 +27,10 @@
 _HEAL_S = 8.0
 _AFTER_S = 3.0
 _START_S = 15.0
+# From the end of a process to the ready state of the next one.
+_RESTART_S = 2.0
+# The other engines that leave just lose their entries.
+_TOLD_SHARE = 0.6
 
 
 class Scale(NamedTuple):
@@ -60,6 +66,7 @@
         self._hosts = []
         self._engines = []
         self._thawed = []
+        self._troubles = []
         self._done = []
         self._version = 1
         self._begun = 0
@@ -89,7 +96,9 @@
                 each.cancel()
             await asyncio.gather(*(host.end() for host in self._hosts))
         calls = callers.calls
-        broken = find_broken_promises(calls, self._records, self._thawed)
+        broken = find_broken_promises(
+            calls, self._records, self._thawed, self._troubles
+        )
         share = share_served(calls, healed_at + _HEAL_S)
         if share < RECOVERED_SHARE:
             broken.append(f'RECOVER {share:.2f} were served at the end')
@@ -211,14 +220,30 @@
         alive = [engine for engine in self._engines if engine.is_alive]
         return self._generator.choice(alive) if alive else None
 
+    @contextlib.contextmanager
+    def _disturb(self, *subjects, after_s=0):
+        """Note trouble that lasts for ``after_s`` beyond the block."""
+        begun_at = time.monotonic()
+        try:
+            yield
+        finally:
+            ended_at = time.monotonic() + after_s
+            self._troubles.extend(
+                Trouble(subject, begun_at, ended_at) for subject in subjects
+            )
+
+    async def _end_host(self, host, number=signal.SIGKILL):
+        with self._disturb(host.name, after_s=_RESTART_S):
+            await host.end(number)
+
     async def _kill_host(self):
-        await self._pick_host().end()
+        await self._end_host(self._pick_host())
 
     async def _kill_all(self):
-        await asyncio.gather(*(host.end() for host in self._hosts))
+        await asyncio.gather(*map(self._end_host, self._hosts))
 
     async def _stop_host(self):
-        await self._pick_host().end(signal.SIGTERM)
+        await self._end_host(self._pick_host(), signal.SIGTERM)
 
     async def _hang_up(self):
         for host in self._hosts:
@@ -226,35 +251,40 @@
 
     async def _freeze_host(self):
         host = self._pick_host()
-        host.send(signal.SIGSTOP)
-        await asyncio.sleep(self._generator.uniform(0.3, 5))
-        host.send(signal.SIGCONT)
+        with self._disturb(host.name):
+            host.send(signal.SIGSTOP)
+            await asyncio.sleep(self._generator.uniform(0.3, 5))
+            host.send(signal.SIGCONT)
         self._thawed.append((host.machine, time.monotonic()))
 
     async def _spoil_store_link(self):
-        await self._spoil(self._pick_host().link)
+        host = self._pick_host()
+        await self._spoil(host.link, host.name)
 
     async def _spoil_engine_link(self):
         engine = self._pick_engine()
         if engine is not None:
-            await self._spoil(engine.link)
-
-    async def _spoil(self, link):
-        link.mode = self._generator.choice(MODES[1:])
-        if link.mode == 'refuse':
+            await self._spoil(engine.link, engine.name)
+
+    async def _spoil(self, link, subject):
+        with self._disturb(subject):
+            link.mode = self._generator.choice(MODES[1:])
+            if link.mode == 'refuse':
+                link.reset()
+            await asyncio.sleep(self._generator.uniform(0.5, 5))
+            link.mode = 'pass'
             link.reset()
-        await asyncio.sleep(self._generator.uniform(0.5, 5))
-        link.mode = 'pass'
-        link.reset()
 
     async def _spoil_store(self):
         fault = self._generator.choice(('busy', 'slow', 'lost', 'compact'))
         if fault == 'compact':
+            # Forgetting history is allowed at any time and excuses nothing.
             self._store.compact()
             return
-        self._store.fault = fault
-        await asyncio.sleep(self._generator.uniform(0.5, 4))
-        self._store.fault = ''
+        with self._disturb(STORE):
+            self._store.fault = fault
+            await asyncio.sleep(self._generator.uniform(0.5, 4))
+            self._store.fault = ''
 
     async def _crash_engine(self):
         engine = self._pick_engine()
@@ -266,7 +296,7 @@
     async def _drain_engine(self):
         engine = self._pick_engine()
         if engine is not None:
-            await engine.leave()
+            await engine.leave(is_told=self._generator.random() < _TOLD_SHARE)
             if not engine.is_alive:
                 await engine.start(MODELS[1 : 1 + PLACES])
 
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -7,6 +7,7 @@
 import time
 
 from tests.soak.links import Link
+from tests.soak.touch import Arrival, Work
 from tests.soak.wire import HttpServer
 
 BEAT_S = 0.4
@@ -17,7 +18,11 @@
 _EVENT_S = 0.03
 _LOAD_S = 0.4
 _WORK_S = 0.03
-_DRAIN_S = 2.5
+# Engines serve for at least the bound on leaving, and at times much longer.
+_DRAIN_S = (2.5, 5.0)
+# Some streams last long enough for clients to leave in the middle.
+_SLOW_EVENT_S = 0.4
+_SLOW_SHARE = 0.15
 
 
 class Records:
@@ -28,6 +33,8 @@
         self.services = {}
         self.orders = []
         self.overfull = []
+        self.arrivals = []
+        self.works = []
 
 
 def make_events(request_id):
@@ -60,6 +67,7 @@
         self._busy = False
         self._running = 0
         self._born = 0
+        self._left_at = None
         self._server = None
 
     async def start(self, held=()):
@@ -72,6 +80,7 @@
         self._busy = False
         self._running = 0
         self._state = 'ready'
+        self._left_at = None
         self._server = HttpServer(self._handle)
         await self._server.start()
         if self.link is None:
@@ -94,11 +103,16 @@
             BEAT_S * 3, lambda: self._store.delete('servers', instance)
         )
 
-    async def leave(self):
-        """Drain, then end."""
+    async def leave(self, *, is_told):
+        """Drain, then end; one that isn't told just loses its entry."""
         self._state = 'draining'
-        self._register()
-        await asyncio.sleep(_DRAIN_S)
+        if is_told:
+            self._register()
+        else:
+            self._beat.cancel()
+            self._store.delete('servers', self.instance)
+        self._left_at = time.monotonic()
+        await asyncio.sleep(self._generator.uniform(*_DRAIN_S))
         if self.is_alive:
             self.crash()
             self._store.delete('servers', self.instance)
@@ -189,6 +203,10 @@
 
     async def _run(self, request, response):
         request_id = request.headers.get('x-cassiarail-request-id', '')
+        if self._left_at is not None:
+            self._records.arrivals.append(
+                Arrival(request_id, self.name, self._left_at, time.monotonic())
+            )
         model = request.headers.get('x-cassiarail-model', '').partition('/')[0]
         if model and model not in self._held:
             await response.answer(421, {'x-cassiarail-not-run': '1'})
@@ -223,7 +241,22 @@
                 'transfer-encoding': 'chunked',
             },
         )
-        for piece in make_events(request_id)[first:]:
-            await asyncio.sleep(_EVENT_S)
-            await response.send(piece)
-        await response.finish()
+        pieces = make_events(request_id)[first:]
+        is_slow = self._generator.random() < _SLOW_SHARE
+        event_s = _SLOW_EVENT_S if is_slow else _EVENT_S
+        begun_at = time.monotonic()
+        try:
+            for piece in pieces:
+                await asyncio.sleep(event_s)
+                await response.send(piece)
+            await response.finish()
+        finally:
+            self._records.works.append(
+                Work(
+                    request_id,
+                    self.name,
+                    begun_at,
+                    time.monotonic(),
+                    begun_at + event_s * len(pieces),
+                )
+            )
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -4,6 +4,11 @@
 import re
 
 from tests.soak.engines import EVENTS
+from tests.soak.touch import (
+    Troubles,
+    find_late_requests,
+    find_work_for_nobody,
+)
 
 # Statuses that promise that a request has not run and never will.
 PROMISES = frozenset((408, 421, 429, 503))
@@ -17,11 +22,11 @@
 _EVENT = re.compile(rb'id: (\d+)\ndata: (\S+)-(\d+)\n\n')
 
 
-def find_broken_promises(calls, records, thawed=()):
+def find_broken_promises(calls, records, thawed=(), troubles=()):
     """Return a line for each promise that was broken.
 
     ``thawed`` holds pairs of the machine that was frozen and the time at
-    which it ran again.
+    which it ran again, ``troubles`` what disturbed hosts, engines and store.
     """
     broken = []
     broken.extend(_find_doubled(calls, records))
@@ -38,6 +43,9 @@
         for instance, model in records.overfull
     )
     broken.extend(_find_close_orders(records.orders, thawed))
+    touch = Troubles(troubles)
+    broken.extend(find_late_requests(calls, records.arrivals, touch))
+    broken.extend(find_work_for_nobody(calls, records.works, touch))
     return broken
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 from tests.soak.drill import Scale, play
 from tests.soak.engines import Records, make_events
 from tests.soak.judge import find_broken_promises
+from tests.soak.touch import Arrival, Trouble, Work
 
 FILE, READ, STREAM, RESUME = KINDS
 # Seeds that once showed a fault, each with its cause.
@@ -58,6 +59,40 @@
     assert rule in judge(call, runs)
 
 
+def test_the_judge_finds_requests_to_an_engine_that_has_left():
+    records = Records()
+    call = make_call(READ)
+    records.arrivals.append(Arrival('r1', 'e', 10, 12.1))
+    (line,) = find_broken_promises([call], records)
+    assert line.startswith('DRAIN')
+    for subject in ('h0', 'e', 'store'):
+        trouble = Trouble(subject, 6, 7.5)
+        assert not find_broken_promises([call], records, (), [trouble])
+        trouble = Trouble(subject, 5, 6.5)
+        assert find_broken_promises([call], records, (), [trouble])
+    records.arrivals[:] = [Arrival('r1', 'e', 10, 11.9)]
+    assert not find_broken_promises([call], records)
+
+
+def test_the_judge_finds_work_for_clients_that_have_left():
+    calls = [
+        make_call(STREAM, 0, b'', is_whole=False)._replace(
+            request_id=f'r{number}', ended_at=5, has_left=True
+        )
+        for number in range(10)
+    ]
+    records = Records()
+    for number in range(10):
+        ended_at = 6 if number < 4 else 5.1
+        records.works.append(Work(f'r{number}', 'e', 4, ended_at, 6))
+    (line,) = find_broken_promises(calls, records)
+    assert line.startswith('GONE 4 of 10')
+    trouble = Trouble('h0', 4, 5)
+    assert not find_broken_promises(calls, records, (), [trouble])
+    records.works[0] = Work('r0', 'e', 4, 5.4, 6)
+    assert not find_broken_promises(calls, records)
+
+
 def test_the_judge_finds_orders_of_two_machines():
     call = make_call(FILE)
     turns = [(0, 'e', 'a', 1), (2.9, 'e', 'b', 2)]
