Never use the fence again that a holder has given up

Cause, by reading: when the store is out of reach a holder gives its lease up and tells the others, who may then take the next fence without waiting. But it went on to compete, and renewed the object in the store, which still named it, under the same fence; the others read a fence that they took for released. The same held for a lease that lapsed by the clock.

Change: a lease that was forgotten retires its fence, and the holder takes the next one; a lapse forgets the lease too. The write that takes it decides between this host and one that believed the release. What was inherited from an earlier process counts for one acquisition only.

test_a_holder_that_gave_up_never_uses_its_fence_again fails on the code before (fence 1 again). The state machine of tenures now loses the store, tells the others, and checks that a fence of another holder is higher.

--- a/cassiarail/edge/tenure.py
+++ b/cassiarail/edge/tenure.py
@@ -135,6 +135,7 @@
             if self._may_compete():
                 await self._attempt()
             if self._is_holder and not self._lease.is_held():
+                self._lease.abandon()
                 self._end('lease lapsed')
             await self._clock.sleep(_TICK_S * (1 + self._jitter()))
 
--- a/cassiarail/store/leases.py
+++ b/cassiarail/store/leases.py
@@ -81,6 +81,7 @@
         self._other: _Observation | None = None
         self._valid_until = _NEVER
         self._released_fence = 0
+        self._retired_fence = 0
         self.was_released = False
 
     @property
@@ -157,7 +158,11 @@
             return
         document = found.document
         if document['holder'] == self.holder:
-            await self._take(found, document['fence'])
+            # Others may have been told that the holder gave this fence up.
+            is_retired = document['fence'] <= self._retired_fence
+            self.was_released = False
+            self.inherited_quiet_s = None
+            await self._take(found, document['fence'] + is_retired)
         elif self._is_of_this_machine(found):
             self.was_released = False
             self.inherited_quiet_s = document.get('quiet_s')
@@ -210,6 +215,7 @@
     def _forget(self) -> None:
         if self._own is not None:
             emit_event(LEASE_LOST, lease=self.name, fence=self.fence)
+            self._retired_fence = self.fence
         self._own = None
         self._other = None
         self._valid_until = _NEVER
--- a/tests/edge/test_tenure.py
+++ b/tests/edge/test_tenure.py
@@ -98,12 +98,30 @@
             return
         now = self.clock.monotonic()
         last = self.orders.get(engine)
+        fence = member.tenure.fence
         if last and last[0] != index:
             assert now - last[2] >= BETWEEN_S - ROUNDING_S
-        self.orders[engine] = (index, now, now + flight_s)
+            assert fence > last[3]
+        self.orders[engine] = (index, now, now + flight_s, fence)
 
     @rule(index=who)
     def stop(self, index):
+        member = self.members[index]
+        self._end(index, lambda: drive(member.tenure.drain()))
+        member.tenure._is_stopping = False
+
+    @rule(index=who)
+    def lose_the_store(self, index):
+        # The holder gives up before its lease lapses, and may try again.
+        member = self.members[index]
+
+        def end():
+            member.lease.abandon()
+            member.tenure._end('store is out of reach')
+
+        self._end(index, end)
+
+    def _end(self, index, end):
         member = self.members[index]
         if not member.tenure.is_held():
             return
@@ -111,11 +129,10 @@
         now = self.clock.monotonic()
         idle_s = {
             engine: now - at
-            for engine, (sender, at, _arrived) in self.orders.items()
+            for engine, (sender, at, _arrived, _fence) in self.orders.items()
             if sender == index
         }
-        drive(member.tenure.drain())
-        member.tenure._is_stopping = False
+        end()
         for other in self.members:
             if other is not member:
                 other.tenure.hear_resignation(fence, idle_s)
@@ -199,6 +216,23 @@
     assert not member.tenure.may_order('x')
 
 
+def test_a_holder_that_gave_up_never_uses_its_fence_again():
+    # It renewed its lease after an outage, while another host had believed that
+    # it gives no more orders and took the next fence.
+    clock = ManualClock()
+    store = MemoryObjectStore()
+    first, second = (Member(name, clock, store) for name in 'ab')
+    drive(first.tenure._attempt())
+    fence = first.tenure.fence
+    first.lease.abandon()
+    first.tenure._end('store is out of reach')
+    second.tenure.hear_resignation(fence, {})
+    drive(first.tenure._attempt())
+    assert first.tenure.fence > fence
+    drive(second.tenure._attempt())
+    assert not second.tenure.is_held()
+
+
 PATIENT = RULES._replace(patience_s=3)
 
 
