Give each run of the soak a loopback address of its own

Cause, by the ids: a run picks free ports before its processes bind them, and another run could take one in between.

Each run uses an address of 127.0.0.0/8 made from its process id, so that two runs share none (test_two_runs_share_no_address).

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,6 +7,8 @@
 
 import h11
 
+from tests.soak.loopback import ADDRESS
+
 _CHUNK = 65536
 DEADLINE_S = 3.0
 # Some clients leave long before their deadline.
@@ -99,7 +101,7 @@
 
     async def _open(self):
         self._reader, self._writer = await asyncio.open_connection(
-            '127.0.0.1', self.host.port
+            ADDRESS, self.host.port
         )
         self._machine = h11.Connection(h11.CLIENT)
         self.is_open = True
@@ -209,7 +211,7 @@
     try:
         async with asyncio.timeout(0.4):
             reader, writer = await asyncio.open_connection(
-                '127.0.0.1', host.ready_port
+                ADDRESS, host.ready_port
             )
             writer.write(b'GET /v1/readyz HTTP/1.1\r\nhost: x\r\n\r\n')
             head = await reader.readline()
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -7,6 +7,7 @@
 import time
 
 from tests.soak.links import Link
+from tests.soak.loopback import ADDRESS
 from tests.soak.touch import Arrival, Work
 from tests.soak.wire import HttpServer
 
@@ -128,7 +129,7 @@
             self.instance,
             {
                 'service': self.service,
-                'addr': f'127.0.0.1:{self.link.port}',
+                'addr': f'{ADDRESS}:{self.link.port}',
                 'zone': self.zone,
                 'version': 'v1',
                 'slots': 8,
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -8,6 +8,7 @@
 import sys
 
 from tests.soak.links import Link
+from tests.soak.loopback import ADDRESS
 
 BOUNDS = {
     'lease_s': 3.0,
@@ -24,7 +25,7 @@
     sockets = [socket.socket() for _port in range(count)]
     try:
         for each in sockets:
-            each.bind(('127.0.0.1', 0))
+            each.bind((ADDRESS, 0))
         return [each.getsockname()[1] for each in sockets]
     finally:
         for each in sockets:
@@ -57,7 +58,7 @@
     @property
     def machine(self):
         """Return the name under which the host gives orders."""
-        return f'{self.name}@127.0.0.1:{self._ports[3]}'
+        return f'{self.name}@{ADDRESS}:{self._ports[3]}'
 
     @property
     def is_running(self):
@@ -104,17 +105,17 @@
         return {
             'name': self.name,
             'data_centre': self._zone,
-            'callers': f'127.0.0.1:{self._ports[0]}',
+            'callers': f'{ADDRESS}:{self._ports[0]}',
             'readiness': {
-                'address': f'127.0.0.1:{self._ports[1]}',
+                'address': f'{ADDRESS}:{self._ports[1]}',
                 'path': '/v1/readyz',
             },
             'metrics': {
-                'address': f'127.0.0.1:{self._ports[2]}',
+                'address': f'{ADDRESS}:{self._ports[2]}',
                 'path': '/metrics',
             },
-            'peers': f'127.0.0.1:{self._ports[3]}',
-            'object_api': f'127.0.0.1:{self.link.port}',
+            'peers': f'{ADDRESS}:{self._ports[3]}',
+            'object_api': f'{ADDRESS}:{self.link.port}',
             'registry': {
                 'targets': 'servers',
                 'configuration': 'config',
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+from tests.soak.loopback import ADDRESS
+
 _CHUNK = 65536
 MODES = ('pass', 'delay', 'refuse', 'silent', 'deaf')
 _DELAY_S = 0.3
@@ -24,7 +26,7 @@
 
     async def start(self):
         """Listen on loopback."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self._server = await asyncio.start_server(self._serve, ADDRESS, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def reset(self):
@@ -44,7 +46,7 @@
         self._writers.add(writer)
         try:
             far_reader, far_writer = await asyncio.open_connection(
-                '127.0.0.1', self.target_port
+                ADDRESS, self.target_port
             )
         except OSError:
             writer.transport.abort()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,7 @@
 """Guard the promises with real processes, and guard the judge itself."""
 
 import asyncio
+import ipaddress
 
 import pytest
 
@@ -8,6 +9,7 @@
 from tests.soak.drill import Scale, play
 from tests.soak.engines import Records, make_events
 from tests.soak.judge import find_broken_promises
+from tests.soak.loopback import find_address
 from tests.soak.touch import Arrival, Trouble, Work
 
 FILE, READ, STREAM, RESUME = KINDS
@@ -103,6 +105,15 @@
     assert judge(call, orders=[(0, 'e', 'a', 2), (9, 'e', 'b', 1)]) == ['ONE']
 
 
+def test_two_runs_share_no_address():
+    # One run got the requests of another, which had taken its ports.
+    addresses = {find_address(pid) for pid in range(1, 1 << 22, 97)}
+    assert len(addresses) == len(range(1, 1 << 22, 97))
+    assert all(
+        ipaddress.ip_address(address).is_loopback for address in addresses
+    )
+
+
 @pytest.mark.parametrize('seed', [1, *REGRESSIONS])
 def test_real_processes_keep_the_promises(seed):
     scale = Scale(seconds=4, faults=4, per_s=15)
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -7,6 +7,8 @@
 
 import h11
 
+from tests.soak.loopback import ADDRESS
+
 _CHUNK = 65536
 
 
@@ -79,9 +81,7 @@
 
     async def start(self, port=0):
         """Listen on loopback."""
-        self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', port
-        )
+        self._server = await asyncio.start_server(self._serve, ADDRESS, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def crash(self):
