Keep what faulty targets send from the wrong callers

Reports of other operators, each tried on the edge path at the byte: - A refusal without an id, written once more on a kept connection, was believed: the request ran at a second engine while the first one ran it (TWICE). Only the first response of a connection may lack the id now. - A stream that had begun was continued with a 200 that is no event stream, and with events that the caller had already (ORDER, MIXED). An error of the next target never entered a stream; a test keeps it so. - A body that ends with its connection within an event looked complete, and so did an aborted stream to an HTTP/1.0 client. - A target that sent a byte now and then never stalled: every byte renewed the time limit. Only the end of an event does now. A slow stream isn't cut. - An event without end filled the memory; interim responses and responses to other requests went on until the deadline; a refusal with an unfinished body held its request. All have bounds now. - A stopping host counted a response as sent while the client had not read it. - A process that had just listed the registry took an older entry from a delayed state update, so that a target that had left was in use again. - An order went out after the term in which it was planned if its connection took longer to open than the lease had left.

--- a/cassiarail/edge/attempts.py
+++ b/cassiarail/edge/attempts.py
@@ -8,6 +8,11 @@
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import ConnectFailedError, ConnectionLostError
 from cassiarail.edge.dialect import AttemptParameters, Dialect, ResponseFacts
+from cassiarail.edge.event_stream import (
+    EventSplitter,
+    InvalidStreamError,
+    StreamProgress,
+)
 from cassiarail.edge.events import ABANDONED_RESPONSE_LOST
 from cassiarail.edge.jobs import AttemptResult, BufferedResponse, Job, Outcome
 from cassiarail.edge.targets import Target
@@ -37,6 +42,9 @@
     ),
 )
 _HEAD_METHOD = b'HEAD'
+_EVENT_STREAM = 'text/event-stream'
+# The body of a refusal is read to keep the connection, but not for longer.
+_REFUSAL_BODY_S = 0.1
 
 
 class AttemptRules(NamedTuple):
@@ -47,8 +55,8 @@
     A repeatable request is sent to another target if no response head arrives
     within ``first_response_s`` or ``objective_factor`` times the route's
     objective, whichever is longer. A stream is resumed at another target
-    after a pause of ``stall_s`` or ``pause_factor`` times the route's pause,
-    whichever is longer.
+    after a pause between complete events of ``stall_s`` or ``pause_factor``
+    times the route's pause, whichever is longer.
     """
 
     fresh_idle_s: float = 1.0
@@ -144,9 +152,8 @@
                 loop.time(),
             )
         if facts.did_not_run:
-            await connection.discard_body()
-            self._pool.release(connection)
             job.in_flight = False
+            await self._discard_refusal(connection)
             return AttemptResult(Outcome.NOT_RUN, f'status {response.status}')
         if response.status not in _SUCCESS_STATUSES:
             return await self._read_failure(job, connection, response)
@@ -156,6 +163,16 @@
             return await self._relay_stream(job, target, connection, response)
         return await self._relay_response(job, connection, response)
 
+    async def _discard_refusal(self, connection: ClientConnection) -> None:
+        """Read the body of a refusal, or give up the connection."""
+        try:
+            async with asyncio.timeout(_REFUSAL_BODY_S):
+                await connection.discard_body()
+        except (TimeoutError, ConnectionLostError):
+            self._pool.discard(connection, 'refusal has no complete body')
+            return
+        self._pool.release(connection)
+
     async def _read_head(
         self,
         job: Job,
@@ -165,17 +182,29 @@
         head = await self._wait_for_target(
             job,
             connection.read_head(
-                lambda candidate: self._matches_request(candidate, request_id),
+                lambda candidate: self._matches_request(
+                    candidate, request_id, connection
+                ),
             ),
             self._compute_head_timeout_s(job),
         )
         return head, self._dialect.decode_response(head)
 
-    def _matches_request(self, head: ResponseHead, request_id: str) -> bool:
-        """Return whether a response doesn't belong to an earlier request."""
+    def _matches_request(
+        self,
+        head: ResponseHead,
+        request_id: str,
+        connection: ClientConnection,
+    ) -> bool:
+        """Return whether a response doesn't belong to an earlier request.
+
+        A failure without an id can only belong to the first request of a
+        connection; later, it may be a copy of an earlier refusal.
+        """
         response_id = self._dialect.decode_response(head).request_id
         if response_id is None:
-            return head.status not in _SUCCESS_STATUSES
+            is_first = connection.sent_requests == 1
+            return is_first and head.status not in _SUCCESS_STATUSES
         return response_id == request_id
 
     async def _wait_for_target(
@@ -183,19 +212,22 @@
         job: Job,
         read: Coroutine[Any, Any, _ReadResult],
         timeout_s: float | None,
+        elapsed_s: float = 0,
     ) -> _ReadResult:
-        """Read from a target until it times out and another one can be used."""
+        """Read from a target until it times out and another one can be used.
+
+        ``elapsed_s`` is the part of the first timeout that has passed already.
+        """
         if timeout_s is None:
             return await read
         reading = asyncio.ensure_future(read)
+        wait_s = max(0, timeout_s - elapsed_s)
         try:
             while True:
-                done, _pending = await asyncio.wait(
-                    [reading],
-                    timeout=timeout_s,
-                )
+                done, _pending = await asyncio.wait([reading], timeout=wait_s)
                 if done:
                     return reading.result()
+                wait_s = timeout_s
                 if job.may_switch():
                     raise ConnectionLostError('target sent nothing in time')
         finally:
@@ -253,27 +285,30 @@
         connection: ClientConnection,
         head: ResponseHead,
     ) -> AttemptResult:
+        if job.response_started and not _is_event_stream(head):
+            raise ConnectionLostError('the resumed response is no event stream')
+        loop = asyncio.get_running_loop()
+        progress = StreamProgress(loop.time())
         while True:
-            chunk = await self._read_chunk(job, connection)
+            chunk = await self._read_chunk(
+                job, connection, loop.time() - progress.last_event_at
+            )
             self._reachability.record_activity(target.identity)
-            if not job.response_started:
-                job.response_started = True
-                job.exchange.begin_stream(
-                    head.status,
-                    strip_hop_headers(head.headers),
-                )
+            _begin_stream(job, head)
             if chunk is None:
                 break
+            progress.record(chunk, loop.time())
             if job.splitter is not None:
-                chunk = job.splitter.feed(chunk)
+                chunk = _split_chunk(job.splitter, chunk)
             if chunk:
                 await job.exchange.send_chunk(chunk)
+        if not (progress.is_between_events or _has_known_length(head)):
+            raise ConnectionLostError('stream ended within an event')
         self._pool.release(connection)
         job.in_flight = False
-        if job.splitter is not None:
-            remainder = job.splitter.flush()
-            if remainder:
-                await job.exchange.send_chunk(remainder)
+        remainder = job.splitter.flush() if job.splitter else b''
+        if remainder:
+            await job.exchange.send_chunk(remainder)
         job.exchange.finish_stream()
         return AttemptResult(Outcome.SUCCEEDED, f'status {head.status}')
 
@@ -281,7 +316,9 @@
         self,
         job: Job,
         connection: ClientConnection,
+        since_event_s: float,
     ) -> bytes | None:
+        """Read on; a target that sends bytes but no events has stalled."""
         if job.splitter is None or not _may_run_again(job):
             return await connection.read_chunk()
         return await self._wait_for_target(
@@ -291,6 +328,7 @@
                 self._rules.stall_s,
                 self._rules.pause_factor * job.route.pause_s,
             ),
+            since_event_s,
         )
 
     def _abandon(self, job: Job, connection: ClientConnection) -> None:
@@ -317,7 +355,11 @@
     ) -> None:
         try:
             async with asyncio.timeout(remaining_s):
-                await connection.read_head(lambda _head: True)
+                await connection.read_head(
+                    lambda head: self._matches_request(
+                        head, request_id, connection
+                    ),
+                )
                 await connection.discard_body()
         except (TimeoutError, ConnectionLostError) as error:
             emit_event(
@@ -328,6 +370,34 @@
         self._pool.release(connection)
 
 
+def _begin_stream(job: Job, head: ResponseHead) -> None:
+    """Send the head of the first target that streams; it stays in force."""
+    if not job.response_started:
+        job.response_started = True
+        job.exchange.begin_stream(head.status, strip_hop_headers(head.headers))
+
+
+def _split_chunk(splitter: EventSplitter, chunk: bytes) -> bytes:
+    """Return the complete events up to the end of a chunk."""
+    try:
+        return splitter.feed(chunk)
+    except InvalidStreamError as error:
+        raise ConnectionLostError(str(error)) from error
+
+
+def _is_event_stream(head: ResponseHead) -> bool:
+    content_type = find_header(head.headers, b'content-type') or ''
+    return content_type.partition(';')[0].strip() == _EVENT_STREAM
+
+
+def _has_known_length(head: ResponseHead) -> bool:
+    """Return whether a body has an end other than that of its connection."""
+    return any(
+        find_header(head.headers, name) is not None
+        for name in (b'content-length', b'transfer-encoding')
+    )
+
+
 def _may_run_again(job: Job) -> bool:
     return job.route.may_repeat and job.possible_runs + 1 < job.route.attempts
 
--- a/cassiarail/edge/leader.py
+++ b/cassiarail/edge/leader.py
@@ -180,6 +180,7 @@
                 step,
                 self._parts.election.holder,
                 self._parts.election.fence,
+                lambda: self._parts.election.may_order(step.engine),
             )
             if is_accepted and step.adapter and step.is_load:
                 await self._clock.sleep(ADAPTER_READY_S)
--- a/cassiarail/edge/orders.py
+++ b/cassiarail/edge/orders.py
@@ -1,6 +1,7 @@
 """Send orders to engines and resolve those without a response."""
 
 import collections
+from collections.abc import Callable
 
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
@@ -74,8 +75,13 @@
         step: Step,
         leader: str,
         fence: int,
+        may_order: Callable[[], bool],
     ) -> bool:
-        """Send one order; return whether the engine accepted it."""
+        """Send one order; return whether the engine accepted it.
+
+        ``may_order`` is checked again right before the order is sent: the
+        term may have ended while a connection was opened.
+        """
         target = record.target
         variant = ModelVariant(step.model, step.adapter)
         order = Order(
@@ -92,6 +98,7 @@
                 target.address,
                 self._dialect.encode_order(order, target.instance),
                 ORDER_TIMEOUT_S,
+                may_order,
             )
         except TargetError as error:
             self._handle_failure(record, order, error.message)
--- a/cassiarail/edge/targets.py
+++ b/cassiarail/edge/targets.py
@@ -104,6 +104,7 @@
         self.on_put: Callable[[Target], None] = _ignore_target
         self.on_removed: Callable[[str, int], None] = _ignore_removal
         self._removed_at_revision: dict[str, int] = {}
+        self._listed_revision = 0
         self._now = now
         self._targets: dict[str, Target] = {}
         self._entries: dict[str, Target] = {}
@@ -153,6 +154,7 @@
                 self.remove(instance, revision)
         for target in listed.values():
             self.put(target)
+        self._listed_revision = max(self._listed_revision, revision)
 
     def put(self, target: Target) -> None:
         """Add or update a target, unless a newer entry is known."""
@@ -235,7 +237,11 @@
         if revision < self._removed_at_revision.get(instance, 0):
             return True
         entry = self._entries.get(instance)
-        return entry is not None and revision < entry.revision
+        if entry is None:
+            # A listing has shown that the entry was removed since. Another
+            # host may repeat it, and a restarted process knows no removals.
+            return revision <= self._listed_revision
+        return revision < entry.revision
 
     def expire(self) -> list[str]:
         """Remove the targets that stayed missing; return their names."""
--- a/cassiarail/http1/calls.py
+++ b/cassiarail/http1/calls.py
@@ -1,9 +1,13 @@
 """Send single requests to a server through a connection pool."""
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
-from cassiarail.core.exceptions import ConnectionLostError
+from cassiarail.core.exceptions import (
+    ConnectFailedError,
+    ConnectionLostError,
+)
 from cassiarail.http1.messages import (
     RequestHead,
     ResponseHead,
@@ -26,14 +30,20 @@
     address: Address,
     request: tuple[RequestHead, bytes],
     timeout_s: float,
+    may_send: Callable[[], bool] | None = None,
 ) -> ServerResponse:
     """Send a request and return the complete response.
 
+    ``may_send`` is checked right before sending, since opening a connection
+    takes time.
     Raises ``ConnectFailedError`` if no byte was sent, and
     ``ConnectionLostError`` if the connection fails or the response isn't
     complete within ``timeout_s``.
     """
     connection = await pool.acquire(address)
+    if may_send is not None and not may_send():
+        pool.release(connection)
+        raise ConnectFailedError(f'{address}: the request is no longer allowed')
     try:
         async with asyncio.timeout(timeout_s):
             connection.send(*request)
--- a/cassiarail/http1/connections.py
+++ b/cassiarail/http1/connections.py
@@ -20,6 +20,10 @@
 _MAX_HEAD_BYTES = 16_384
 # Reading is paused while more bytes than this are unprocessed.
 _MAX_UNREAD_BYTES = 262_144
+# A faulty server may send responses that belong to no request without end.
+_MAX_SKIPPED_RESPONSES = 16
+# A longer body is not worth reading only to keep the connection.
+_MAX_DISCARDED_BYTES = 65_536
 
 AcceptHead = Callable[[ResponseHead], bool]
 
@@ -32,6 +36,7 @@
         self.idle_since = float(0)
         self.keep_alive_s: float | None = None
         self.is_closed = False
+        self.sent_requests = 0
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._parser = _create_parser()
@@ -87,6 +92,7 @@
         self._is_busy = True
         if self._transport is None or self.is_closed:
             raise ConnectionLostError(self._error or 'connection is closed')
+        self.sent_requests += 1
         self._transport.write(self._encode(head, body))
 
     async def read_head(self, accept: AcceptHead) -> ResponseHead:
@@ -95,7 +101,9 @@
         Responses that are not accepted belong to earlier requests and are
         read and discarded. Raises ``ConnectionLostError``.
         """
-        while True:
+        skipped = 0
+        while skipped < _MAX_SKIPPED_RESPONSES:
+            skipped += 1
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 head = ResponseHead(
@@ -106,6 +114,7 @@
                 if accept(head):
                     return head
                 await self._skip_response()
+        raise self._fail('too many responses that belong to no request')
 
     async def read_chunk(self) -> bytes | None:
         """Return the next bytes of the body, or ``None`` at its end."""
@@ -206,10 +215,8 @@
             self._parser.receive_data(b'')
 
     async def discard_body(self) -> None:
-        """Read a body to its end and discard it."""
-        chunk: bytes | None = b''
-        while chunk is not None:
-            chunk = await self.read_chunk()
+        """Read a short body to its end and discard it."""
+        await self.read_body(_MAX_DISCARDED_BYTES)
 
     def _fail(self, reason: str) -> ConnectionLostError:
         self.abort(reason)
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -46,6 +46,12 @@
         self._pipelined_bytes = 0
         self._is_reading = False
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether a response waits for the client to read."""
+        transport = self._transport
+        return transport is not None and bool(transport.get_write_buffer_size())
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start waiting for the first request."""
         self._transport = cast(asyncio.Transport, transport)
@@ -216,8 +222,11 @@
 
     @property
     def in_progress(self) -> int:
-        """Return the number of requests being handled."""
-        return sum(connection.is_responding for connection in self._connections)
+        """Return the number of requests whose response was not sent yet."""
+        return sum(
+            connection.is_responding or connection.has_unsent_bytes
+            for connection in self._connections
+        )
 
     @property
     def open_connections(self) -> int:
--- a/cassiarail/http1/sockets.py
+++ b/cassiarail/http1/sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 # A peer that lost power or network acknowledges nothing. Two probes a second
 # apart after one idle second detect it within about three seconds.
@@ -21,6 +22,10 @@
 )
 
 
+# Linger for zero seconds: the kernel sends a reset instead of a clean close.
+_NO_LINGER = struct.pack('ii', 1, 0)
+
+
 def enable_dead_peer_detection(transport: asyncio.BaseTransport) -> None:
     """Set the socket options that end a connection to a dead peer."""
     tcp = transport.get_extra_info('socket')
@@ -28,3 +33,11 @@
         return
     for level, option, setting in _SOCKET_OPTIONS:
         tcp.setsockopt(level, option, setting)
+
+
+def reset_connection(transport: asyncio.Transport) -> None:
+    """Close a connection so that its peer sees an error, not an end."""
+    tcp = transport.get_extra_info('socket')
+    if tcp is not None:
+        tcp.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    transport.abort()
--- a/cassiarail/http1/writing.py
+++ b/cassiarail/http1/writing.py
@@ -8,8 +8,10 @@
 
 from cassiarail.http1.exchanges import Exchange
 from cassiarail.http1.messages import Headers, RequestHead, find_header
+from cassiarail.http1.sockets import reset_connection
 
 _HEAD = b'HEAD'
+_OLD_VERSION = b'1.0'
 
 
 class ResponseWriter(Exchange):
@@ -85,8 +87,13 @@
 
     def abort(self) -> None:
         """Close the connection before the response is complete."""
-        if self._transport is not None:
-            self._on_response_end(False)
+        transport = self._transport
+        if transport is None:
+            return
+        if self._parser.their_http_version == _OLD_VERSION:
+            # The end of the connection would look like the end of the body.
+            reset_connection(transport)
+        self._on_response_end(False)
 
     def refuse(self, status: int, reason: str) -> None:
         """Respond to a request that was not read completely."""
--- /dev/null
+++ b/tests/edge/test_faulty_targets.py
@@ -0,0 +1,310 @@
+"""Test that what a faulty target sends never reaches the wrong caller.
+
+Operators of similar systems reported second copies of responses, refusals
+that were repeated, errors in the middle of streams, and responses without end.
+"""
+
+import asyncio
+
+from cassiarail.edge.event_stream import EventSplitter
+from tests.edge.fleet import (
+    CONFIGURATION,
+    NOT_RUN,
+    Fleet,
+    make_response,
+    make_route,
+    serve,
+)
+from tests.edge.test_forwarding import STREAM_HEAD, serve_stream
+from tests.http1.wire import ScriptedServer, run_with_timeout
+
+# A refusal that names no request, as for one that arrived without an id.
+ANONYMOUS_REFUSAL = (
+    b'HTTP/1.1 503 Busy\r\nX-Cassiarail-Not-Run: 1\r\nContent-Length: 0\r\n\r\n'
+)
+COPY_OF_ANOTHER_REFUSAL = NOT_RUN.replace(b'r1', b'r0')
+
+
+def send_twice(route, first, second):
+    """Return the responses of two requests and how often each engine ran one.
+
+    Both are sent to one engine over one connection; another engine is known
+    before the second response.
+    """
+    outcome = []
+
+    async def main():
+        is_known = asyncio.Event()
+
+        async def respond(server, reader, writer):
+            await server.read_request(reader)
+            writer.write(first)
+            await server.read_request(reader)
+            await is_known.wait()
+            writer.write(second)
+            await writer.drain()
+            await reader.read()
+
+        async with (
+            ScriptedServer(respond) as engine,
+            ScriptedServer(serve(make_response(b'ran twice'))) as other,
+            Fleet() as host,
+        ):
+            host.add(engine, 'i-0')
+            outcome.append(await host.send_request(route))
+            pending = asyncio.ensure_future(host.send_request(route))
+            while engine.received.count(b'POST') < 2:
+                await asyncio.sleep(0.001)
+            host.add(other, 'i-1')
+            is_known.set()
+            outcome.append(await pending)
+            assert engine.connections == 1
+            outcome.append(other.received.count(b'POST'))
+
+    run_with_timeout(main)
+    return outcome
+
+
+def test_a_repeated_refusal_on_a_kept_connection_is_not_believed():
+    # The caller was told "not run" for a request that the engine was running,
+    # or it ran at a second engine as well.
+    for copy in (ANONYMOUS_REFUSAL, COPY_OF_ANOTHER_REFUSAL):
+        first, second, other_runs = send_twice(
+            'file', make_response(b'one'), copy + make_response(b'two')
+        )
+        assert first.endswith(b'one')
+        assert second.endswith(b'two')
+        assert not other_runs
+
+
+def test_a_second_copy_of_a_response_reaches_no_other_caller():
+    copy = make_response(b'one', request_id='r0')
+    first, second, other_runs = send_twice(
+        'read', make_response(b'one'), copy + make_response(b'two')
+    )
+    assert first.endswith(b'one')
+    assert second.endswith(b'two')
+    assert not other_runs
+
+
+def test_a_refusal_without_the_end_of_its_body_is_retried_at_once():
+    endless = NOT_RUN.replace(b'Content-Length: 0', b'Content-Length: 9999')
+
+    async def refuse_slowly(server, reader, writer):
+        await server.read_request(reader)
+        writer.write(endless)
+        await asyncio.Event().wait()
+
+    async def main():
+        async with (
+            ScriptedServer(refuse_slowly) as slow,
+            ScriptedServer(serve(make_response(b'done'))) as sound,
+            Fleet() as host,
+        ):
+            host.add(slow, 'i-0')
+            pending = asyncio.ensure_future(host.send_request('file'))
+            while not slow.received:
+                await asyncio.sleep(0.001)
+            host.add(sound, 'i-1')
+            async with asyncio.timeout(2):
+                assert (await pending).endswith(b'done')
+
+    run_with_timeout(main)
+
+
+async def resume_with(response):
+    """Break a stream off after event 2; return what the caller received."""
+    is_known = asyncio.Event()
+
+    async def respond(server, reader, writer):
+        await server.read_request(reader)
+        writer.write(response)
+        await writer.drain()
+
+    interrupted = ScriptedServer(
+        serve_stream(
+            b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n',
+            ends=False,
+            until=is_known,
+        ),
+    )
+    async with interrupted, ScriptedServer(respond) as other, Fleet() as host:
+        host.add(interrupted, 'i-0')
+        pending = asyncio.ensure_future(host.send_request('resume'))
+        while not interrupted.received:
+            await asyncio.sleep(0.001)
+        host.add(other, 'i-1')
+        is_known.set()
+        received = await pending
+        assert other.received
+        return received
+
+
+def encode_stream(body, head=STREAM_HEAD):
+    return head + b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
+
+
+def check_incomplete(received, *unwanted):
+    assert received.count(b'HTTP/1.1') == 1
+    assert received.count(b'id: 2\n') == 1
+    assert not received.endswith(b'0\r\n\r\n')
+    for part in unwanted:
+        assert part not in received
+
+
+def test_an_error_of_the_next_target_never_enters_a_stream_that_began():
+    async def main():
+        for status in ('500 Broken', '404 Missing', '503 Busy', '429 Slow'):
+            received = await resume_with(make_response(b'oops', status))
+            check_incomplete(received, b'oops', b'Content-Length')
+
+    run_with_timeout(main)
+
+
+def test_a_success_that_is_no_stream_never_enters_a_stream_that_began():
+    async def main():
+        received = await resume_with(
+            make_response(b'{"error": 1}', headers='Content-Type: x/json\r\n')
+        )
+        check_incomplete(received, b'error')
+
+    run_with_timeout(main)
+
+
+def test_events_that_the_caller_has_are_not_repeated():
+    # The next target ignored Last-Event-Id and began from the start.
+    async def main():
+        received = await resume_with(
+            encode_stream(b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n')
+        )
+        check_incomplete(received)
+        assert received.count(b'id: 1\n') == 1
+
+    run_with_timeout(main)
+
+
+def test_a_stream_that_ends_with_its_connection_within_an_event_is_broken():
+    head = STREAM_HEAD.replace(b'Transfer-Encoding: chunked\r\n', b'')
+
+    async def crash(server, reader, writer):
+        await server.read_request(reader)
+        writer.write(head + b'id: 1\ndata: a\n\nid: 2\nda')
+        await writer.drain()
+
+    async def main():
+        for route in ('stream', 'resume'):
+            async with ScriptedServer(crash) as engine, Fleet() as host:
+                host.add(engine, 'i-0')
+                received = await host.send_request(route)
+                assert b'id: 1' in received
+                assert not received.endswith(b'0\r\n\r\n')
+
+    run_with_timeout(main)
+
+
+def test_an_event_without_end_does_not_fill_the_memory():
+    async def send_forever(server, reader, writer):
+        await server.read_request(reader)
+        writer.write(STREAM_HEAD)
+        while True:
+            writer.write(b'10000\r\n' + b'x' * 65536 + b'\r\n')
+            server.chunks = getattr(server, 'chunks', 0) + 1
+            await writer.drain()
+
+    async def main():
+        async with ScriptedServer(send_forever) as engine, Fleet() as host:
+            host.add(engine, 'i-0')
+            async with asyncio.timeout(3):
+                await host.send_request('resume')
+            assert engine.chunks < 1000
+
+    run_with_timeout(main)
+
+
+def test_responses_to_no_request_do_not_go_on_for_ever():
+    async def send_forever(server, reader, writer):
+        await server.read_request(reader)
+        while True:
+            writer.write(b'HTTP/1.1 102 Wait\r\n\r\n')
+            await writer.drain()
+            await asyncio.sleep(0)
+
+    async def main():
+        async with ScriptedServer(send_forever) as engine, Fleet() as host:
+            host.add(engine, 'i-0')
+            async with asyncio.timeout(3):
+                received = await host.send_request('file')
+            assert received.startswith(b'HTTP/1.1 502')
+
+    run_with_timeout(main)
+
+
+STALL_ROUTE = make_route('drip', CONFIGURATION.routes[3].kind, can_resume=True)
+
+
+def test_a_target_that_sends_bytes_but_no_events_has_stalled():
+    async def drip(server, reader, writer):
+        await server.read_request(reader)
+        writer.write(STREAM_HEAD + b'f\r\nid: 1\ndata: a\n\n\r\n')
+        while True:
+            writer.write(b'1\r\nx\r\n')
+            await writer.drain()
+            await asyncio.sleep(0.2)
+
+    async def main():
+        configuration = CONFIGURATION._replace(routes=(STALL_ROUTE,))
+        async with (
+            ScriptedServer(drip) as stalled,
+            ScriptedServer(serve_stream(b'id: 2\ndata: b\n\n')) as sound,
+            Fleet(configuration) as host,
+        ):
+            host.add(stalled, 'i-0')
+            pending = asyncio.ensure_future(host.send_request('drip'))
+            while not stalled.received:
+                await asyncio.sleep(0.001)
+            host.add(sound, 'i-1')
+            received = await pending
+            assert received.endswith(b'0\r\n\r\n')
+            assert b'id: 2\n' in received
+            assert b'x' not in received.partition(b'id: 1')[2]
+
+    run_with_timeout(main)
+
+
+def test_a_slow_stream_with_regular_events_is_not_interrupted():
+    async def send_slowly(server, reader, writer):
+        await server.read_request(reader)
+        writer.write(STREAM_HEAD)
+        for number in range(1, 4):
+            event = b'id: %d\ndata: a\n\n' % number
+            writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(1)
+        writer.write(b'0\r\n\r\n')
+        await writer.drain()
+
+    async def main():
+        async with (
+            ScriptedServer(send_slowly) as slow,
+            ScriptedServer(serve()) as idle,
+            Fleet() as host,
+        ):
+            host.add(slow, 'i-0')
+            pending = asyncio.ensure_future(host.send_request('resume'))
+            while not slow.received:
+                await asyncio.sleep(0.001)
+            host.add(idle, 'i-1')
+            received = await pending
+            assert received.endswith(b'0\r\n\r\n')
+            assert not idle.received
+
+    run_with_timeout(main)
+
+
+def test_the_end_of_an_event_may_be_split_between_chunks():
+    splitter = EventSplitter()
+    received = b''.join(
+        splitter.feed(bytes((byte,))) for byte in b'id: 1\n\nid: 2\n\n'
+    )
+    assert received == b'id: 1\n\nid: 2\n\n'
+    assert splitter.last_id == '2'
--- /dev/null
+++ b/tests/edge/test_orders.py
@@ -0,0 +1,41 @@
+"""Test that no order is sent after the term in which it was planned."""
+
+import asyncio
+
+from cassiarail.core.clock import BootClock
+from cassiarail.edge.engines import EngineRecords
+from cassiarail.edge.orders import OrderSender
+from cassiarail.edge.targets import Target
+from cassiarail.http1.pool import ConnectionPool, PoolRules
+from cassiarail.placement.fleet import Step
+from cassiarail.platform.dialect import PlatformDialect
+from tests.http1.wire import ScriptedServer, run_with_timeout
+
+
+async def ignore(server, reader, _writer):
+    await server.read_request(reader)
+
+
+def test_an_order_is_not_sent_if_the_term_ends_while_a_connection_opens():
+    # Two hosts gave orders for a moment: opening the connection took longer
+    # than the lease had left.
+    async def main():
+        async with ScriptedServer(ignore) as engine:
+            target = Target('i-1', 1, 's', engine.address, 'dc', 8)
+            records = EngineRecords(BootClock())
+            records.update([target])
+            sender = OrderSender(
+                ConnectionPool(PoolRules(1)), PlatformDialect(), BootClock()
+            )
+            is_accepted = await sender.send(
+                next(iter(records)),
+                Step(is_load=True, engine='i-1', model='m'),
+                'h',
+                1,
+                lambda: False,
+            )
+            assert not is_accepted
+            await asyncio.sleep(0.05)
+            assert not engine.received
+
+    run_with_timeout(main)
--- a/tests/edge/test_targets.py
+++ b/tests/edge/test_targets.py
@@ -148,3 +148,14 @@
     assert directory.get('i') is None
     directory.put(TARGET._replace(revision=8))
     assert directory.get('i')
+
+
+def test_an_entry_that_a_listing_lacks_is_not_brought_back_by_a_peer():
+    # A restarted process knows no removals; a delayed state update listed a
+    # target that had left before.
+    directory = TargetDirectory(lambda: 0)
+    directory.replace_all([], 9)
+    directory.put(TARGET._replace(revision=7))
+    assert not list(directory)
+    directory.put(TARGET._replace(revision=10))
+    assert list(directory)
--- a/tests/http1/test_listener.py
+++ b/tests/http1/test_listener.py
@@ -264,3 +264,40 @@
             writer.close()
 
     run_with_timeout(main)
+
+
+def test_aborted_stream_to_an_old_client_is_reset():
+    # Without chunks, a closed connection means that the body is complete.
+    async def send_part_and_abort(exchange):
+        exchange.begin_stream(200, [])
+        await exchange.send_chunk(b'part')
+        await asyncio.sleep(0.05)
+        exchange.abort()
+
+    async def main():
+        async with ListenerHarness(handler=send_part_and_abort) as harness:
+            reader, writer = await asyncio.open_connection(*harness.address)
+            writer.write(get().replace(b'HTTP/1.1', b'HTTP/1.0'))
+            with pytest.raises(ConnectionResetError):
+                await reader.read(-1)
+            writer.close()
+
+    run_with_timeout(main)
+
+
+def test_a_response_that_is_not_sent_yet_is_in_progress():
+    # A stopping host would exit, and the client would lose the remainder.
+    async def respond(exchange):
+        exchange.respond(200, [], bytes(16_000_000))
+
+    async def main():
+        async with ListenerHarness(handler=respond) as harness:
+            reader, writer = await asyncio.open_connection(*harness.address)
+            writer.write(get())
+            await reader.readexactly(100)
+            assert harness.listener.in_progress
+            while harness.listener.in_progress:
+                await reader.read(1_000_000)
+            writer.close()
+
+    run_with_timeout(main)
