Check the store at a constant rate of the fleet, and keep stopping hosts from leading

Without processor time and with logs, a host that was being stopped took the lease at 26.2 s and gave it up at 28.4 s, and after the second outage the first check came 0.6 s later than the reads of the lease had before.

Now the hosts together check 20 times a second in an outage, which is every 0.3 s with 6 hosts and every second from 20 hosts on, and a host that is stopping doesn't compete.

--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -45,6 +45,8 @@
 # lease, so that another host can acquire an expired lease first.
 _MIN_LEADER_LINK_MBPS = 100
 _NARROW_LINK_DELAY_S = 3.0
+# Number of hosts until they are counted.
+_DEFAULT_HOST_COUNT = 16
 
 
 class ControlDependencies(NamedTuple):
@@ -79,6 +81,7 @@
         # watches are built.
         self.store_contact_s: Callable[[], float] = lambda: -1
         self.on_term_start: Callable[[], None] = lambda: None
+        self.is_stopping: Callable[[], bool] = bool
         self._dependencies = dependencies
         self._clock = clock
         self._generator = generator
@@ -90,6 +93,10 @@
         """Return the components to run."""
         return (self.presence, self._hosts, self._election, self.leader)
 
+    def count_hosts(self) -> int:
+        """Return the number of hosts, or an estimate until they are known."""
+        return self.presence.host_count or _DEFAULT_HOST_COUNT
+
     def is_leader(self) -> bool:
         """Return whether this host is leader."""
         return self.leader.is_leader
@@ -173,7 +180,7 @@
             ),
             self._generator.random,
             self._on_leadership_change,
-            lambda: not self._dependencies.breaker.is_open,
+            self._may_compete,
         )
         self.leader = PlacementLeader(
             LeaderParts(
@@ -191,6 +198,10 @@
         self.presence.election = self._election
         self.presence.leader = self.leader
 
+    def _may_compete(self) -> bool:
+        """Return whether this host may become leader if it is not."""
+        return not (self._dependencies.breaker.is_open or self.is_stopping())
+
     def _on_leadership_change(self, is_leader: bool) -> None:
         if is_leader:
             self._budget.begin(is_first=self._election.fence == 1)
--- a/cassiarail/edge/election.py
+++ b/cassiarail/edge/election.py
@@ -73,14 +73,14 @@
         rules: ElectionRules,
         jitter: Callable[[], float],
         on_change: Callable[[bool], None],
-        may_call_store: Callable[[], bool] | None = None,
+        may_compete: Callable[[], bool] | None = None,
     ) -> None:
         """Call ``on_change`` when the host begins or ends a term.
 
-        A host that doesn't hold the lease reads it only while
-        ``may_call_store`` returns true.
+        A host that doesn't hold the lease reads it only while ``may_compete``
+        returns true.
         """
-        self._may_call_store = may_call_store or _always
+        self._is_allowed = may_compete or _always
         self.fence = 0
         self._lease = lease
         self._clock = clock
@@ -165,7 +165,7 @@
     def _may_compete(self) -> bool:
         if self._is_leader:
             return self._clock.monotonic() >= self._renew_at
-        if not self._may_call_store():
+        if not self._is_allowed():
             return False
         # A process that has just started may still own the lease of the
         # previous process on this machine.
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -38,8 +38,6 @@
 # Requests that are still in progress after this share of the stop time are
 # aborted, so that their error responses can still be sent.
 _STOP_SHARE = 0.92
-# Number of hosts that share the retry budget until the hosts are counted.
-_DEFAULT_HOST_COUNT = 16
 # Consecutive failures that eject a target, and for how long. At most half of
 # a service's targets are ejected.
 _EJECTION_S = 2.0
@@ -107,6 +105,7 @@
             self._generator,
         )
         self._build_forwarding()
+        self._control.is_stopping = lambda: self._caller_listener.is_draining
         self.application = Application(
             'edge',
             self._build_components(path),
@@ -134,7 +133,7 @@
         self._budgets = ServiceBudgets(
             clock,
             read_budget(self._settings),
-            self._count_hosts,
+            self._control.count_hosts,
         )
         selector = TargetSelector(
             self._directory,
@@ -229,9 +228,6 @@
         # Ejected targets are still used if no other target holds a model.
         return True
 
-    def _count_hosts(self) -> int:
-        return self._control.presence.host_count or _DEFAULT_HOST_COUNT
-
     def _read_drain_rules(self) -> DrainRules:
         return DrainRules(self._settings['bounds']['stop_s'] * _STOP_SHARE)
 
--- a/cassiarail/edge/registry.py
+++ b/cassiarail/edge/registry.py
@@ -7,9 +7,9 @@
 from cassiarail.edge.control import ControlDependencies, ControlParts
 from cassiarail.edge.followers import ConfigurationFollower, TargetFollower
 from cassiarail.edge.store_polling import (
+    CheckPacer,
     ConfigurationPacer,
     TargetPacer,
-    choose_check_interval_s,
 )
 from cassiarail.edge.watches import Watches, WatchHooks
 
@@ -32,6 +32,12 @@
             dependencies.dialect,
             on_directory_change,
         )
+        check_pacer = CheckPacer(
+            self._receiver,
+            control.is_leader,
+            control.count_hosts,
+            lambda: dependencies.breaker.is_open,
+        )
         self.watches = Watches(
             dependencies.store,
             dependencies.breaker,
@@ -54,9 +60,7 @@
                     dependencies.configuration.get_version,
                 ),
                 control.lease.observe,
-                lambda: choose_check_interval_s(
-                    self._receiver, control.is_leader
-                ),
+                check_pacer.interval_s,
                 self.targets.begin_return,
             ),
         )
--- a/cassiarail/edge/store_polling.py
+++ b/cassiarail/edge/store_polling.py
@@ -15,6 +15,9 @@
 
 _UPDATE_CHECK_S = 0.2
 _MIN_CHECK_S = 0.01
+# The election used to read the lease about this often on each host.
+_MIN_INTERVAL_S = 0.2
+_OUTAGE_CHECKS_PER_S = 20
 
 
 class PollRules(NamedTuple):
@@ -147,11 +150,31 @@
         return super().is_replaced() and announced <= self._get_version()
 
 
-def choose_check_interval_s(
-    receiver: StateUpdateReceiver,
-    is_leader: Callable[[], bool],
-) -> float:
-    """Return the seconds between checks of the connection to the store."""
-    if not is_leader() and receiver.is_current():
-        return UPDATED_HOST_CHECK_INTERVAL_S
-    return CHECK_INTERVAL_S
+class CheckPacer:
+    """Decide how often this host checks its connection to the store."""
+
+    def __init__(
+        self,
+        receiver: StateUpdateReceiver,
+        is_leader: Callable[[], bool],
+        count_hosts: Callable[[], int],
+        is_suspended: Callable[[], bool],
+    ) -> None:
+        """Call ``is_suspended`` for whether calls wait for a check."""
+        self._receiver = receiver
+        self._is_leader = is_leader
+        self._count_hosts = count_hosts
+        self._is_suspended = is_suspended
+
+    def interval_s(self) -> float:
+        """Return the seconds until the next check.
+
+        In an outage, all hosts together check at a constant rate, so that in
+        a small fleet one of them soon notices its end and becomes leader.
+        """
+        if self._is_suspended():
+            shared_s = self._count_hosts() / _OUTAGE_CHECKS_PER_S
+            return min(CHECK_INTERVAL_S, max(_MIN_INTERVAL_S, shared_s))
+        if not self._is_leader() and self._receiver.is_current():
+            return UPDATED_HOST_CHECK_INTERVAL_S
+        return CHECK_INTERVAL_S
--- a/tests/edge/test_election.py
+++ b/tests/edge/test_election.py
@@ -291,9 +291,9 @@
     # All hosts competed several times a second in an outage of the store.
     clock = ManualClock()
     member = Member('a', clock, MemoryObjectStore())
-    member.election._may_call_store = lambda: False
+    member.election._is_allowed = lambda: False
     assert not member.election._may_compete()
-    member.election._may_call_store = lambda: True
+    member.election._is_allowed = lambda: True
     assert member.election._may_compete()
 
 
@@ -301,7 +301,7 @@
     clock = ManualClock()
     member = Member('a', clock, MemoryObjectStore())
     assert compete(member)
-    member.election._may_call_store = lambda: False
+    member.election._is_allowed = lambda: False
     clock.advance(RULES.lease_s / RULES.renewals_per_lease)
     assert member.election._may_compete()
 
--- a/tests/edge/test_store_polling.py
+++ b/tests/edge/test_store_polling.py
@@ -5,7 +5,11 @@
 from cassiarail.core.clock import LoopClock
 from cassiarail.core.loops import run_virtual
 from cassiarail.edge.state_updates import StateUpdateReceiver
-from cassiarail.edge.store_polling import ConfigurationPacer, TargetPacer
+from cassiarail.edge.store_polling import (
+    CheckPacer,
+    ConfigurationPacer,
+    TargetPacer,
+)
 from tests.edge.test_state_updates import make_state_update, receive
 
 # The shortest limit on requests to a leaving target.
@@ -80,3 +84,19 @@
         return asyncio.get_running_loop().time() - announced_at
 
     assert run_virtual(main) <= 0.25
+
+
+def test_in_an_outage_the_hosts_together_check_at_a_constant_rate():
+    clock = LoopClock()
+
+    async def measure(hosts):
+        receiver = StateUpdateReceiver(clock)
+        pacer = CheckPacer(receiver, lambda: False, lambda: hosts, lambda: True)
+        return pacer.interval_s()
+
+    async def main():
+        # Without a leader, a small fleet loads no models; each tenth counts.
+        assert await measure(6) <= 0.3
+        assert await measure(64) == await measure(380) == 1.0
+
+    run_virtual(main)
