Refuse waiting requests as soon as their model would come too late

The estimate is now repeated four times a second, and the refusal says when the model can be expected. Those that wait on a host that is stopping are told to come back at once.

--- a/cassiarail/edge/forwarding.py
+++ b/cassiarail/edge/forwarding.py
@@ -120,11 +120,7 @@
         if route is None:
             raise Refusal(http.HTTPStatus.NOT_FOUND, 'no route')
         if not self.accepts_new:
-            raise Refusal(
-                http.HTTPStatus.SERVICE_UNAVAILABLE,
-                'this host is stopping',
-                0,
-            )
+            raise _build_stop_refusal()
         return Job(exchange, request, configuration, route)
 
     async def _serve(self, job: Job) -> None:
@@ -258,10 +254,10 @@
 
     async def _wait_for_target(self, job: Job) -> None:
         service, variant = job.service, job.request.variant
-        now = asyncio.get_running_loop().time()
-        limit_s = min(
-            job.deadline - now - _NETWORK_MARGIN_S,
-            job.exchange.received_at + _WAIT_SHARE * job.caller_timeout_s - now,
+        loop = asyncio.get_running_loop()
+        until = min(
+            job.deadline - _NETWORK_MARGIN_S,
+            job.exchange.received_at + _WAIT_SHARE * job.caller_timeout_s,
         )
         if variant is None or service.engine is None:
             raise Refusal(
@@ -276,41 +272,36 @@
                 'the targets that hold the model are unreachable',
                 _RETRY_UNREACHABLE_S,
             )
-        expected_s = self._estimate_load_s(
-            service.engine, service.name, variant
-        )
-        if expected_s > limit_s:
-            self._parts.demand.record_refused(service.name, variant)
-            raise Refusal(
-                http.HTTPStatus.SERVICE_UNAVAILABLE,
-                'no engine can hold the model in time',
-                expected_s,
-            )
+        engine = service.engine
         is_available = await self._parts.waits.wait(
             service.name,
             variant,
             lambda: bool(
                 self._parts.selector.list_usable(service.name, variant),
             ),
-            limit_s,
+            lambda: loop.time() + self._estimate_load_s(job, engine) > until,
         )
         if not is_available:
+            if not self.accepts_new:
+                raise _build_stop_refusal()
+            self._parts.demand.record_refused(service.name, variant)
             raise Refusal(
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
-                'no engine held the model in time',
-                _RETRY_AFTER_S,
+                'no engine can hold the model in time',
+                self._estimate_load_s(job, engine),
             )
 
-    def _estimate_load_s(
-        self, engine: EngineType, service: str, variant: ModelVariant
-    ) -> float:
+    def _estimate_load_s(self, job: Job, engine: EngineType) -> float:
+        variant = job.request.variant
+        if variant is None:
+            return 0
         if variant.model not in engine.models:
             raise Refusal(
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
                 'the model is not configured',
                 _RETRY_UNCONFIGURED_S,
             )
-        return self._parts.estimate_load_s(service, variant)
+        return self._parts.estimate_load_s(job.service.name, variant)
 
     def _fail(self, job: Job, status: int) -> None:
         if job.response_started:
@@ -360,6 +351,14 @@
         )
 
 
+def _build_stop_refusal() -> Refusal:
+    return Refusal(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        'this host is stopping',
+        0,
+    )
+
+
 def _may_repeat(job: Job) -> bool:
     return job.route.may_repeat and job.possible_runs < job.route.attempts
 
--- a/cassiarail/edge/waiting.py
+++ b/cassiarail/edge/waiting.py
@@ -6,11 +6,15 @@
 
 import asyncio
 import collections
+import contextlib
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from cassiarail.edge.targets import ModelVariant
 
+# A wait is given up at most this long after it has become hopeless.
+_RECHECK_S = 0.25
+
 
 class WaitingRequests(NamedTuple):
     """Count the requests that wait for a model variant of a service."""
@@ -54,21 +58,30 @@
         service: str,
         variant: ModelVariant,
         is_available: Callable[[], bool],
-        timeout_s: float,
+        is_hopeless: Callable[[], bool],
     ) -> bool:
-        """Wait for a model variant; return whether it is available in time."""
+        """Wait for a model variant; return whether it is available.
+
+        The wait ends as soon as ``is_hopeless`` returns true.
+        """
         key = (service, variant)
         self._waiting[key] += 1
         if self._waiting[key] == 1:
             self._on_first_waiter()
         try:
-            async with asyncio.timeout(timeout_s):
-                while not (self._is_closed or is_available()):
-                    await self._changed.wait()
-        except TimeoutError:
-            return False
+            while not (self._is_closed or is_available()):
+                if is_hopeless():
+                    return False
+                await self._wait_for_change(is_available)
         finally:
             self._waiting[key] -= 1
             if not self._waiting[key]:
                 self._waiting.pop(key)
         return not self._is_closed or is_available()
+
+    async def _wait_for_change(self, is_available: Callable[[], bool]) -> None:
+        """Return when a variant is available, or after a short time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_RECHECK_S):
+                while not (self._is_closed or is_available()):
+                    await self._changed.wait()
--- a/tests/edge/test_forwarding.py
+++ b/tests/edge/test_forwarding.py
@@ -264,6 +264,24 @@
     run_with_timeout(main)
 
 
+def test_a_waiting_request_is_refused_once_its_model_would_come_too_late():
+    # On days of heavy load, rare models were not loaded as estimated, and
+    # requests for them were refused only at the end of their time.
+    async def main():
+        async with Fleet() as host:
+            pending = asyncio.ensure_future(
+                host.send_request('stream', MODEL_HEADER)
+            )
+            while not list(host.waits):
+                await asyncio.sleep(0.001)
+            host.expected_s = 30.0
+            received = await pending
+        assert received.startswith(b'HTTP/1.1 503')
+        assert b'retry-after: 30.00' in received.lower()
+
+    run_with_timeout(main)
+
+
 def test_a_stopping_host_responds_to_waiting_requests():
     # A request that was read must not end without a response (LOST).
     async def main():
