Check less often in an outage of the store of a large fleet

Hosts now check every 3 s at most while no state update shows that the store is back; with 60 hosts and more that is before the bounds apply again.

--- a/cassiarail/edge/store_polling.py
+++ b/cassiarail/edge/store_polling.py
@@ -17,6 +17,9 @@
 _MIN_CHECK_S = 0.01
 # The election used to read the lease about this often on each host.
 _MIN_INTERVAL_S = 0.2
+# Each refused check has the full price of a call. Large fleets have bounds
+# that apply again 4 s after an outage.
+_MAX_INTERVAL_S = 3.0
 _OUTAGE_CHECKS_PER_S = 20
 
 
@@ -169,12 +172,14 @@
     def interval_s(self) -> float:
         """Return the seconds until the next check.
 
-        In an outage, all hosts together check at a constant rate, so that in
-        a small fleet one of them soon notices its end and becomes leader.
+        In an outage, all hosts together check at a constant rate, so that one
+        of them soon notices its end and becomes leader, whose state updates
+        then show the others that the store is back.
         """
-        if self._is_suspended():
+        is_current = self._receiver.is_current()
+        if self._is_suspended() and not is_current:
             shared_s = self._count_hosts() / _OUTAGE_CHECKS_PER_S
-            return min(CHECK_INTERVAL_S, max(_MIN_INTERVAL_S, shared_s))
-        if not self._is_leader() and self._receiver.is_current():
+            return min(_MAX_INTERVAL_S, max(_MIN_INTERVAL_S, shared_s))
+        if is_current and not (self._is_leader() or self._is_suspended()):
             return UPDATED_HOST_CHECK_INTERVAL_S
         return CHECK_INTERVAL_S
