Let a new leader count its predecessor's proof only with its configuration

By reading: a host that became leader before it had fetched the configuration that the last leader announced took over that leader's age, and announced the older version to all hosts as current. Its own watches fetch the newer one within a second, unless the store fails just then. The test fails without the check of the version.

--- a/cassiarail/edge/registry.py
+++ b/cassiarail/edge/registry.py
@@ -26,6 +26,7 @@
         generator: random.Random,
     ) -> None:
         self._receiver = control.update_receiver
+        self._configuration = dependencies.configuration
         settings = dependencies.settings['registry']
         self.targets = TargetFollower(
             dependencies.directory,
@@ -75,4 +76,8 @@
         """
         if not self.watches.is_listed:
             return -1
-        return min(self.watches.age_s(), self._receiver.age_s())
+        version = self._configuration.get_version()
+        return min(
+            self.watches.age_s(),
+            self._receiver.age_with_configuration_s(version),
+        )
--- a/cassiarail/edge/state_updates.py
+++ b/cassiarail/edge/state_updates.py
@@ -115,6 +115,16 @@
         """Return the age of the state that the updates have confirmed."""
         return self._clock.monotonic() - self._contact_at
 
+    def age_with_configuration_s(self, version: int) -> float:
+        """Return the age of what a host knows that applies a configuration.
+
+        Until it applies the announced version, the updates confirm nothing
+        that it could announce itself.
+        """
+        if version < self.configuration_version:
+            return -_NEVER
+        return self.age_s()
+
     def begin_resend_request(self) -> bool:
         """Return whether to request missing updates now, and record it."""
         now = self._clock.monotonic()
--- a/tests/edge/test_state_updates.py
+++ b/tests/edge/test_state_updates.py
@@ -215,6 +215,14 @@
     assert not receiver.is_current()
 
 
+def test_a_new_leader_with_an_older_configuration_is_not_up_to_date():
+    # It would announce the older version as current to all hosts.
+    receiver = StateUpdateReceiver(ManualClock())
+    receive(receiver, make_state_update(configuration=7))
+    assert receiver.age_with_configuration_s(7) < 1
+    assert receiver.age_with_configuration_s(6) > 1_000_000
+
+
 def test_a_removal_missed_before_a_change_of_leader_is_noticed():
     # The next leader has removed the entry already and doesn't announce it
     # again; the host went on sending requests to the target.
