--- a/tests/edge/test_faulty_targets.py
+++ b/tests/edge/test_faulty_targets.py
@@ -106,8 +106,8 @@
             while not slow.received:
                 await asyncio.sleep(0.001)
             host.add(sound, 'i-1')
-            async with asyncio.timeout(2):
-                assert (await pending).endswith(b'done')
+            # Otherwise the request is refused at its deadline.
+            assert (await pending).endswith(b'done')
 
     run_with_timeout(main)
 
@@ -214,9 +214,9 @@
     async def main():
         async with ScriptedServer(send_forever) as engine, Fleet() as host:
             host.add(engine, 'i-0')
-            async with asyncio.timeout(3):
-                await host.send_request('resume')
-            assert engine.chunks < 1000
+            await host.send_request('resume')
+            # The limit of an event, and what sockets buffer.
+            assert engine.chunks < 200
 
     run_with_timeout(main)
 
@@ -232,8 +232,8 @@
     async def main():
         async with ScriptedServer(send_forever) as engine, Fleet() as host:
             host.add(engine, 'i-0')
-            async with asyncio.timeout(3):
-                received = await host.send_request('file')
+            received = await host.send_request('file')
+            # Otherwise the deadline ends it with 504.
             assert received.startswith(b'HTTP/1.1 502')
 
     run_with_timeout(main)
