--- a/cassiarail/edge/attempts.py
+++ b/cassiarail/edge/attempts.py
@@ -8,13 +8,15 @@
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import ConnectFailedError, ConnectionLostError
 from cassiarail.edge.dialect import AttemptParameters, Dialect, ResponseFacts
-from cassiarail.edge.event_stream import (
-    EventSplitter,
-    InvalidStreamError,
-    StreamProgress,
-)
+from cassiarail.edge.event_stream import StreamProgress
 from cassiarail.edge.events import ABANDONED_RESPONSE_LOST
 from cassiarail.edge.jobs import AttemptResult, BufferedResponse, Job, Outcome
+from cassiarail.edge.stream_heads import (
+    begin_stream,
+    has_known_length,
+    is_event_stream,
+    split_chunk,
+)
 from cassiarail.edge.targets import Target
 from cassiarail.http1.connections import ClientConnection
 from cassiarail.http1.messages import (
@@ -42,7 +44,6 @@
     ),
 )
 _HEAD_METHOD = b'HEAD'
-_EVENT_STREAM = 'text/event-stream'
 # The body of a refusal is read to keep the connection, but not for longer.
 _REFUSAL_BODY_S = 0.1
 
@@ -285,7 +286,7 @@
         connection: ClientConnection,
         head: ResponseHead,
     ) -> AttemptResult:
-        if job.response_started and not _is_event_stream(head):
+        if job.response_started and not is_event_stream(head):
             raise ConnectionLostError('the resumed response is no event stream')
         loop = asyncio.get_running_loop()
         progress = StreamProgress(loop.time())
@@ -294,15 +295,15 @@
                 job, connection, loop.time() - progress.last_event_at
             )
             self._reachability.record_activity(target.identity)
-            _begin_stream(job, head)
+            begin_stream(job, head)
             if chunk is None:
                 break
             progress.record(chunk, loop.time())
             if job.splitter is not None:
-                chunk = _split_chunk(job.splitter, chunk)
+                chunk = split_chunk(job.splitter, chunk)
             if chunk:
                 await job.exchange.send_chunk(chunk)
-        if not (progress.is_between_events or _has_known_length(head)):
+        if not (progress.is_between_events or has_known_length(head)):
             raise ConnectionLostError('stream ended within an event')
         self._pool.release(connection)
         job.in_flight = False
@@ -370,34 +371,6 @@
         self._pool.release(connection)
 
 
-def _begin_stream(job: Job, head: ResponseHead) -> None:
-    """Send the head of the first target that streams; it stays in force."""
-    if not job.response_started:
-        job.response_started = True
-        job.exchange.begin_stream(head.status, strip_hop_headers(head.headers))
-
-
-def _split_chunk(splitter: EventSplitter, chunk: bytes) -> bytes:
-    """Return the complete events up to the end of a chunk."""
-    try:
-        return splitter.feed(chunk)
-    except InvalidStreamError as error:
-        raise ConnectionLostError(str(error)) from error
-
-
-def _is_event_stream(head: ResponseHead) -> bool:
-    content_type = find_header(head.headers, b'content-type') or ''
-    return content_type.partition(';')[0].strip() == _EVENT_STREAM
-
-
-def _has_known_length(head: ResponseHead) -> bool:
-    """Return whether a body has an end other than that of its connection."""
-    return any(
-        find_header(head.headers, name) is not None
-        for name in (b'content-length', b'transfer-encoding')
-    )
-
-
 def _may_run_again(job: Job) -> bool:
     return job.route.may_repeat and job.possible_runs + 1 < job.route.attempts
 
