Add make fuzz for the state machines of updates and election

Each machine of the tests runs always with the same steps. This runs them with a seed and a length of one's choice, started by hand.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SECONDS ?= 30
 
-.PHONY: demo test lint soak fault-soak
+.PHONY: demo test lint soak fault-soak fuzz
 
 $(STAMP):
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -30,3 +30,6 @@
 
 fault-soak: $(STAMP)
 	$(BIN)/python -m tests.soak --first $(SEED) --seeds 5
+
+fuzz: $(STAMP)
+	$(BIN)/python -m tests.fuzz --seed $(SEED)
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Run the state machines for longer than the tests do."""
--- /dev/null
+++ b/tests/fuzz/__main__.py
@@ -0,0 +1,40 @@
+"""Run state machines with fresh seeds, started by hand.
+
+The tests run each of them short and always with the same steps.
+"""
+
+import argparse
+import random
+
+import hypothesis
+from absl import logging
+from hypothesis.stateful import run_state_machine_as_test
+
+from tests.edge.test_election import ElectionMachine
+from tests.edge.test_state_update_machine import UpdateMachine
+
+_MACHINES = (UpdateMachine, ElectionMachine)
+
+
+def main():
+    """Run every machine once; raise the failure of the first that fails."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=random.getrandbits(32))
+    parser.add_argument('--examples', type=int, default=2000)
+    options = parser.parse_args()
+    logging.set_verbosity(logging.ERROR)
+    settings = hypothesis.settings(
+        max_examples=options.examples,
+        stateful_step_count=60,
+        derandomize=False,
+        deadline=None,
+        database=None,
+    )
+    for machine in _MACHINES:
+        print(f'{machine.__name__} seed {options.seed}', flush=True)
+        seeded = hypothesis.seed(options.seed)(machine)
+        run_state_machine_as_test(seeded, settings=settings)
+
+
+if __name__ == '__main__':
+    main()
