Sort the modules of edge into packages by what they own

edge held 41 modules side by side. requests serves a request, fleet holds the exchange between hosts and the election, engines the leader and its orders, registry what follows the store; process, control and what all of them use stay. Tests follow. Moves and imports only: engines.py is engines/records.py, registry.py is registry/parts.py, tests/edge/fleet.py is tests/edge/harness.py.

--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -10,26 +10,26 @@
 from cassiarail.conf.global_defaults import TARGET_CONNECT_TIMEOUT_S
 from cassiarail.core.clock import Clock
 from cassiarail.core.lifecycle import Component
-from cassiarail.edge.broadcast import Broadcaster
-from cassiarail.edge.configuration import CurrentConfiguration
-from cassiarail.edge.demand import DemandMeter
 from cassiarail.edge.dialect import Dialect
-from cassiarail.edge.election import ElectionRules, LeaderElection
-from cassiarail.edge.fleet_demand import FleetDemand
-from cassiarail.edge.hosts import HostRegistry
-from cassiarail.edge.leader import LeaderParts, PlacementLeader
-from cassiarail.edge.orders import (
+from cassiarail.edge.engines.leader import LeaderParts, PlacementLeader
+from cassiarail.edge.engines.orders import (
     ORDER_TIMEOUT_S,
     LoadBudget,
     OrderSender,
 )
-from cassiarail.edge.peers import PeerLink
-from cassiarail.edge.presence import Presence, PresenceParts
-from cassiarail.edge.state_updates import StateUpdateReceiver
-from cassiarail.edge.suspects import CrashSuspects
-from cassiarail.edge.targets import TargetDirectory
-from cassiarail.edge.traffic import PeerTraffic, TrafficRules
-from cassiarail.edge.waiting import PlacementWaits
+from cassiarail.edge.fleet.broadcast import Broadcaster
+from cassiarail.edge.fleet.demand import DemandMeter
+from cassiarail.edge.fleet.election import ElectionRules, LeaderElection
+from cassiarail.edge.fleet.fleet_demand import FleetDemand
+from cassiarail.edge.fleet.hosts import HostRegistry
+from cassiarail.edge.fleet.peers import PeerLink
+from cassiarail.edge.fleet.presence import Presence, PresenceParts
+from cassiarail.edge.fleet.state_updates import StateUpdateReceiver
+from cassiarail.edge.fleet.traffic import PeerTraffic, TrafficRules
+from cassiarail.edge.registry.configuration import CurrentConfiguration
+from cassiarail.edge.registry.targets import TargetDirectory
+from cassiarail.edge.requests.suspects import CrashSuspects
+from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.routing.reachability import ReachabilityTracker
 from cassiarail.store.breaker import StoreBreaker
--- a/cassiarail/edge/dialect.py
+++ b/cassiarail/edge/dialect.py
@@ -4,8 +4,8 @@
 from typing import Any, NamedTuple
 
 from cassiarail.core.exceptions import RequestError
-from cassiarail.edge.configuration import Configuration
-from cassiarail.edge.targets import Holdings, ModelVariant, Target
+from cassiarail.edge.registry.configuration import Configuration
+from cassiarail.edge.registry.targets import Holdings, ModelVariant, Target
 from cassiarail.http1.messages import RequestHead, ResponseHead
 
 
--- /dev/null
+++ b/cassiarail/edge/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Order the engines what to hold."""
--- a/cassiarail/edge/leader.py
+++ b/cassiarail/edge/engines/leader.py
@@ -9,17 +9,20 @@
 
 from cassiarail.core.clock import Clock
 from cassiarail.core.lifecycle import Component
-from cassiarail.edge.configuration import CurrentConfiguration, EngineType
-from cassiarail.edge.election import LeaderElection
-from cassiarail.edge.engines import (
+from cassiarail.edge.engines.orders import LoadBudget, OrderSender
+from cassiarail.edge.engines.records import (
     ADAPTER_READY_S,
     EngineRecord,
     EngineRecords,
 )
-from cassiarail.edge.fleet_demand import FleetDemand
-from cassiarail.edge.messages import EngineRow, ExpectedRow
-from cassiarail.edge.orders import LoadBudget, OrderSender
-from cassiarail.edge.targets import Target, TargetDirectory
+from cassiarail.edge.fleet.election import LeaderElection
+from cassiarail.edge.fleet.fleet_demand import FleetDemand
+from cassiarail.edge.fleet.messages import EngineRow, ExpectedRow
+from cassiarail.edge.registry.configuration import (
+    CurrentConfiguration,
+    EngineType,
+)
+from cassiarail.edge.registry.targets import Target, TargetDirectory
 from cassiarail.placement.fleet import Fleet, ModelFacts, Step
 from cassiarail.placement.ondemand import plan_steps
 from cassiarail.routing.reachability import ReachabilityTracker
--- a/cassiarail/edge/orders.py
+++ b/cassiarail/edge/engines/orders.py
@@ -7,9 +7,9 @@
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import RequestError, TargetError
 from cassiarail.edge.dialect import Dialect, Order
-from cassiarail.edge.engines import EngineRecord
+from cassiarail.edge.engines.records import EngineRecord
 from cassiarail.edge.events import ORDER_FAILED, ORDER_SENT, REPORT_FAILED
-from cassiarail.edge.targets import ModelVariant
+from cassiarail.edge.registry.targets import ModelVariant
 from cassiarail.http1.calls import call_server
 from cassiarail.http1.pool import ConnectionPool
 from cassiarail.placement.fleet import Step
--- a/cassiarail/edge/engines.py
+++ b/cassiarail/edge/engines/records.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 
 from cassiarail.core.clock import Clock
-from cassiarail.edge.targets import Holdings, ModelVariant, Target
+from cassiarail.edge.registry.targets import Holdings, ModelVariant, Target
 from cassiarail.placement.fleet import EngineState
 
 # Time from an order until its adapter is ready: ten milliseconds plus what the
--- /dev/null
+++ b/cassiarail/edge/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange state with the other hosts and elect a leader."""
--- a/cassiarail/edge/broadcast.py
+++ b/cassiarail/edge/fleet/broadcast.py
@@ -10,9 +10,9 @@
 from typing import NamedTuple
 
 from cassiarail.core.clock import Clock
-from cassiarail.edge.messages import Relay, StateUpdate, encode_message
-from cassiarail.edge.peers import PeerLink
-from cassiarail.edge.traffic import TrafficKind
+from cassiarail.edge.fleet.messages import Relay, StateUpdate, encode_message
+from cassiarail.edge.fleet.peers import PeerLink
+from cassiarail.edge.fleet.traffic import TrafficKind
 from cassiarail.http1.pool import Address
 
 # Two, so that one that has stopped or is suspended delays nothing.
--- a/cassiarail/edge/changes.py
+++ b/cassiarail/edge/fleet/changes.py
@@ -4,9 +4,9 @@
 from typing import NamedTuple
 
 from cassiarail.core.clock import Clock
-from cassiarail.edge.messages import RemovedRow, TargetRow
-from cassiarail.edge.rows import describe_target
-from cassiarail.edge.targets import Target, TargetDirectory
+from cassiarail.edge.fleet.messages import RemovedRow, TargetRow
+from cassiarail.edge.fleet.rows import describe_target
+from cassiarail.edge.registry.targets import Target, TargetDirectory
 
 
 class Changes(NamedTuple):
--- a/cassiarail/edge/demand.py
+++ b/cassiarail/edge/fleet/demand.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from cassiarail.core.clock import Clock
-from cassiarail.edge.targets import ModelVariant
+from cassiarail.edge.registry.targets import ModelVariant
 
 _WINDOW_S = 3.0
 
--- a/cassiarail/edge/entry_digest.py
+++ b/cassiarail/edge/fleet/entry_digest.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from cassiarail.edge.targets import TargetDirectory
+from cassiarail.edge.registry.targets import TargetDirectory
 
 _DIGEST_BYTES = 7
 
--- a/cassiarail/edge/fleet_demand.py
+++ b/cassiarail/edge/fleet/fleet_demand.py
@@ -5,10 +5,10 @@
 from typing import NamedTuple
 
 from cassiarail.core.clock import Clock
-from cassiarail.edge.demand import Demand
-from cassiarail.edge.messages import DemandReport, DemandRow
-from cassiarail.edge.targets import ModelVariant
-from cassiarail.edge.waiting import WaitingRequests
+from cassiarail.edge.fleet.demand import Demand
+from cassiarail.edge.fleet.messages import DemandReport, DemandRow
+from cassiarail.edge.registry.targets import ModelVariant
+from cassiarail.edge.requests.waiting import WaitingRequests
 from cassiarail.placement.fleet import ModelDemand
 
 # Reports arrive twice a second. A host whose last report is older than this has
--- a/cassiarail/edge/hosts.py
+++ b/cassiarail/edge/fleet/hosts.py
@@ -10,8 +10,8 @@
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import StoreError, VersionConflictError
 from cassiarail.core.lifecycle import Component
-from cassiarail.edge.broadcast import Host
 from cassiarail.edge.events import HOST_ENTRY_UNREADABLE, HOST_NOT_REGISTERED
+from cassiarail.edge.fleet.broadcast import Host
 from cassiarail.http1.pool import Address
 from cassiarail.store.backends.base import (
     Listing,
--- a/cassiarail/edge/peers.py
+++ b/cassiarail/edge/fleet/peers.py
@@ -8,8 +8,12 @@
 
 from cassiarail.core.events import emit_event
 from cassiarail.edge.events import PEER_UNREACHABLE, PEER_UNREADABLE
-from cassiarail.edge.messages import Message, decode_message, encode_message
-from cassiarail.edge.traffic import PeerTraffic, TrafficKind
+from cassiarail.edge.fleet.messages import (
+    Message,
+    decode_message,
+    encode_message,
+)
+from cassiarail.edge.fleet.traffic import PeerTraffic, TrafficKind
 from cassiarail.http1.pool import Address
 
 # For a host that has stopped, each datagram causes an error, twice a second.
--- a/cassiarail/edge/presence.py
+++ b/cassiarail/edge/fleet/presence.py
@@ -7,16 +7,15 @@
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
 from cassiarail.core.lifecycle import Component
-from cassiarail.edge.broadcast import Broadcaster
-from cassiarail.edge.changes import ChangeLog
-from cassiarail.edge.demand import DemandMeter
-from cassiarail.edge.election import LeaderElection
-from cassiarail.edge.entry_digest import EntryDigest
+from cassiarail.edge.engines.leader import PlacementLeader
 from cassiarail.edge.events import PEER_UNREADABLE, TARGET_LEAVING
-from cassiarail.edge.fleet_demand import FleetDemand, build_demand_rows
-from cassiarail.edge.followers import log_target
-from cassiarail.edge.leader import PlacementLeader
-from cassiarail.edge.messages import (
+from cassiarail.edge.fleet.broadcast import Broadcaster
+from cassiarail.edge.fleet.changes import ChangeLog
+from cassiarail.edge.fleet.demand import DemandMeter
+from cassiarail.edge.fleet.election import LeaderElection
+from cassiarail.edge.fleet.entry_digest import EntryDigest
+from cassiarail.edge.fleet.fleet_demand import FleetDemand, build_demand_rows
+from cassiarail.edge.fleet.messages import (
     DemandReport,
     EngineRow,
     ExpectedRow,
@@ -26,14 +25,15 @@
     StateUpdate,
     TargetRow,
 )
-from cassiarail.edge.peers import PeerLink
-from cassiarail.edge.rows import read_holdings, read_target
-from cassiarail.edge.sent_rows import SentRows
-from cassiarail.edge.state_updates import REORDER_S, StateUpdateReceiver
-from cassiarail.edge.suspects import CrashSuspects
-from cassiarail.edge.targets import Target, TargetDirectory
-from cassiarail.edge.traffic import PeerTraffic, TrafficKind
-from cassiarail.edge.waiting import PlacementWaits
+from cassiarail.edge.fleet.peers import PeerLink
+from cassiarail.edge.fleet.rows import read_holdings, read_target
+from cassiarail.edge.fleet.sent_rows import SentRows
+from cassiarail.edge.fleet.state_updates import REORDER_S, StateUpdateReceiver
+from cassiarail.edge.fleet.traffic import PeerTraffic, TrafficKind
+from cassiarail.edge.registry.followers import log_target
+from cassiarail.edge.registry.targets import Target, TargetDirectory
+from cassiarail.edge.requests.suspects import CrashSuspects
+from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.pool import Address
 
 _REPORT_INTERVAL_S = 0.5
--- a/cassiarail/edge/rows.py
+++ b/cassiarail/edge/fleet/rows.py
@@ -1,7 +1,7 @@
 """Convert targets and holdings to rows of state updates, and back."""
 
-from cassiarail.edge.messages import EngineRow, TargetRow
-from cassiarail.edge.targets import Holdings, Target
+from cassiarail.edge.fleet.messages import EngineRow, TargetRow
+from cassiarail.edge.registry.targets import Holdings, Target
 from cassiarail.http1.pool import Address
 
 
--- a/cassiarail/edge/sent_rows.py
+++ b/cassiarail/edge/fleet/sent_rows.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from cassiarail.edge.messages import EngineRow
+from cassiarail.edge.fleet.messages import EngineRow
 
 # All rows are repeated over this many regular reports, a few in each.
 _REPEAT_REPORTS = 20
--- a/cassiarail/edge/state_updates.py
+++ b/cassiarail/edge/fleet/state_updates.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from cassiarail.core.clock import Clock
-from cassiarail.edge.messages import StateUpdate
+from cassiarail.edge.fleet.messages import StateUpdate
 
 # The leader's watches return at least every 0.4 s, and it reports their age
 # every 0.5 s. Including the error of the transit time and the host's own call
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -10,18 +10,18 @@
 from cassiarail.conf.global_defaults import TARGET_CONNECT_TIMEOUT_S
 from cassiarail.core.clock import BootClock
 from cassiarail.core.lifecycle import Application, Component
-from cassiarail.edge.attempts import AttemptRunner
-from cassiarail.edge.caller_listener import CallerListener, DrainRules
-from cassiarail.edge.configuration import CurrentConfiguration
 from cassiarail.edge.control import ControlDependencies, ControlParts
 from cassiarail.edge.dialect import Dialect
-from cassiarail.edge.forwarding import Forwarder, ForwardingParts
-from cassiarail.edge.load_times import LoadTimeEstimator
 from cassiarail.edge.metrics import EdgeMetrics
-from cassiarail.edge.registry import RegistryParts
-from cassiarail.edge.selection import TargetSelector
+from cassiarail.edge.registry.configuration import CurrentConfiguration
+from cassiarail.edge.registry.parts import RegistryParts
+from cassiarail.edge.registry.targets import TargetDirectory
+from cassiarail.edge.requests.attempts import AttemptRunner
+from cassiarail.edge.requests.caller_listener import CallerListener, DrainRules
+from cassiarail.edge.requests.forwarding import Forwarder, ForwardingParts
+from cassiarail.edge.requests.load_times import LoadTimeEstimator
+from cassiarail.edge.requests.selection import TargetSelector
 from cassiarail.edge.status import MetricsListener, ReadinessListener
-from cassiarail.edge.targets import TargetDirectory
 from cassiarail.edge.upkeep import SettingsWatch, Upkeep
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.limits.service_budgets import ServiceBudgets
--- /dev/null
+++ b/cassiarail/edge/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Follow the targets and the configuration in the store."""
--- a/cassiarail/edge/followers.py
+++ b/cassiarail/edge/registry/followers.py
@@ -4,7 +4,6 @@
 
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import RequestError
-from cassiarail.edge.configuration import CurrentConfiguration
 from cassiarail.edge.dialect import Dialect
 from cassiarail.edge.events import (
     CONFIGURATION_APPLIED,
@@ -13,7 +12,8 @@
     TARGET_ADDED,
     TARGET_LEAVING,
 )
-from cassiarail.edge.targets import Target, TargetDirectory
+from cassiarail.edge.registry.configuration import CurrentConfiguration
+from cassiarail.edge.registry.targets import Target, TargetDirectory
 from cassiarail.store.backends.base import Listing, StoredObject, WatchBatch
 from cassiarail.store.watching import Follower
 
--- a/cassiarail/edge/registry.py
+++ b/cassiarail/edge/registry/parts.py
@@ -5,13 +5,16 @@
 
 from cassiarail.core.clock import Clock
 from cassiarail.edge.control import ControlDependencies, ControlParts
-from cassiarail.edge.followers import ConfigurationFollower, TargetFollower
-from cassiarail.edge.store_polling import (
+from cassiarail.edge.registry.followers import (
+    ConfigurationFollower,
+    TargetFollower,
+)
+from cassiarail.edge.registry.store_polling import (
     CheckPacer,
     ConfigurationPacer,
     TargetPacer,
 )
-from cassiarail.edge.watches import Watches, WatchHooks
+from cassiarail.edge.registry.watches import Watches, WatchHooks
 
 
 class RegistryParts:
--- a/cassiarail/edge/store_polling.py
+++ b/cassiarail/edge/registry/store_polling.py
@@ -6,7 +6,7 @@
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
 from cassiarail.edge.events import STATE_UPDATES_CURRENT, STATE_UPDATES_STALE
-from cassiarail.edge.state_updates import StateUpdateReceiver
+from cassiarail.edge.fleet.state_updates import StateUpdateReceiver
 from cassiarail.store.monitor import (
     CHECK_INTERVAL_S,
     UPDATED_HOST_CHECK_INTERVAL_S,
--- /dev/null
+++ b/cassiarail/edge/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the requests of callers."""
--- a/cassiarail/edge/attempts.py
+++ b/cassiarail/edge/requests/attempts.py
@@ -8,16 +8,21 @@
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import ConnectFailedError, ConnectionLostError
 from cassiarail.edge.dialect import AttemptParameters, Dialect, ResponseFacts
-from cassiarail.edge.event_stream import StreamProgress
 from cassiarail.edge.events import ABANDONED_RESPONSE_LOST
-from cassiarail.edge.jobs import AttemptResult, BufferedResponse, Job, Outcome
-from cassiarail.edge.stream_heads import (
+from cassiarail.edge.registry.targets import Target
+from cassiarail.edge.requests.event_stream import StreamProgress
+from cassiarail.edge.requests.jobs import (
+    AttemptResult,
+    BufferedResponse,
+    Job,
+    Outcome,
+)
+from cassiarail.edge.requests.stream_heads import (
     begin_stream,
     has_known_length,
     is_event_stream,
     split_chunk,
 )
-from cassiarail.edge.targets import Target
 from cassiarail.http1.connections import ClientConnection
 from cassiarail.http1.messages import (
     Headers,
--- a/cassiarail/edge/caller_listener.py
+++ b/cassiarail/edge/requests/caller_listener.py
@@ -6,14 +6,14 @@
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
 from cassiarail.core.lifecycle import Component
-from cassiarail.edge.configuration import CurrentConfiguration
 from cassiarail.edge.events import (
     DRAIN_ENDED,
     DRAIN_STARTED,
     REQUEST_UNREADABLE,
 )
-from cassiarail.edge.forwarding import Forwarder
 from cassiarail.edge.metrics import EdgeMetrics
+from cassiarail.edge.registry.configuration import CurrentConfiguration
+from cassiarail.edge.requests.forwarding import Forwarder
 from cassiarail.http1.listener import Http1Listener
 from cassiarail.http1.pool import Address
 
--- a/cassiarail/edge/forwarding.py
+++ b/cassiarail/edge/requests/forwarding.py
@@ -8,9 +8,6 @@
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import RequestError
 from cassiarail.core.verdict import Verdict
-from cassiarail.edge.attempts import AttemptRunner
-from cassiarail.edge.configuration import CurrentConfiguration, EngineType
-from cassiarail.edge.demand import DemandMeter
 from cassiarail.edge.dialect import Dialect
 from cassiarail.edge.events import (
     ATTEMPT_FAILED,
@@ -19,12 +16,18 @@
     REQUEST_REFUSED,
     TARGET_EJECTED,
 )
-from cassiarail.edge.jobs import AttemptResult, Job, Outcome
+from cassiarail.edge.fleet.demand import DemandMeter
 from cassiarail.edge.metrics import EdgeMetrics
-from cassiarail.edge.selection import TargetSelector
-from cassiarail.edge.suspects import CrashSuspects
-from cassiarail.edge.targets import ModelVariant, Target
-from cassiarail.edge.waiting import PlacementWaits
+from cassiarail.edge.registry.configuration import (
+    CurrentConfiguration,
+    EngineType,
+)
+from cassiarail.edge.registry.targets import ModelVariant, Target
+from cassiarail.edge.requests.attempts import AttemptRunner
+from cassiarail.edge.requests.jobs import AttemptResult, Job, Outcome
+from cassiarail.edge.requests.selection import TargetSelector
+from cassiarail.edge.requests.suspects import CrashSuspects
+from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.exchanges import Exchange
 from cassiarail.http1.messages import Headers
 from cassiarail.limits.shared_budget import SharedBudget
--- a/cassiarail/edge/jobs.py
+++ b/cassiarail/edge/requests/jobs.py
@@ -6,10 +6,10 @@
 from typing import NamedTuple
 
 from cassiarail.core.verdict import Verdict, combine_verdicts
-from cassiarail.edge.configuration import Configuration, Route, Service
 from cassiarail.edge.dialect import CallerRequest
-from cassiarail.edge.event_stream import EventSplitter
-from cassiarail.edge.targets import Target
+from cassiarail.edge.registry.configuration import Configuration, Route, Service
+from cassiarail.edge.registry.targets import Target
+from cassiarail.edge.requests.event_stream import EventSplitter
 from cassiarail.http1.exchanges import Exchange
 from cassiarail.http1.messages import Headers
 
--- a/cassiarail/edge/load_times.py
+++ b/cassiarail/edge/requests/load_times.py
@@ -1,8 +1,12 @@
 """Estimate when an engine can serve the model that a request needs."""
 
-from cassiarail.edge.configuration import CurrentConfiguration, Model
-from cassiarail.edge.presence import Presence
-from cassiarail.edge.targets import ModelVariant, Target, TargetDirectory
+from cassiarail.edge.fleet.presence import Presence
+from cassiarail.edge.registry.configuration import CurrentConfiguration, Model
+from cassiarail.edge.registry.targets import (
+    ModelVariant,
+    Target,
+    TargetDirectory,
+)
 
 # From the demand report of a request to the engine's accepted order and back.
 _ORDER_S = 0.15
--- a/cassiarail/edge/selection.py
+++ b/cassiarail/edge/requests/selection.py
@@ -3,8 +3,12 @@
 import asyncio
 from typing import NamedTuple
 
-from cassiarail.edge.jobs import Job
-from cassiarail.edge.targets import ModelVariant, Target, TargetDirectory
+from cassiarail.edge.registry.targets import (
+    ModelVariant,
+    Target,
+    TargetDirectory,
+)
+from cassiarail.edge.requests.jobs import Job
 from cassiarail.routing.earliest import Candidate, EarliestStartSelector
 from cassiarail.routing.outliers import OutlierDetector
 from cassiarail.routing.reachability import ReachabilityTracker
--- a/cassiarail/edge/stream_heads.py
+++ b/cassiarail/edge/requests/stream_heads.py
@@ -1,8 +1,11 @@
 """Check and begin streams that one or several targets send."""
 
 from cassiarail.core.exceptions import ConnectionLostError
-from cassiarail.edge.event_stream import EventSplitter, InvalidStreamError
-from cassiarail.edge.jobs import Job
+from cassiarail.edge.requests.event_stream import (
+    EventSplitter,
+    InvalidStreamError,
+)
+from cassiarail.edge.requests.jobs import Job
 from cassiarail.http1.messages import (
     ResponseHead,
     find_header,
--- a/cassiarail/edge/waiting.py
+++ b/cassiarail/edge/requests/waiting.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from cassiarail.edge.targets import ModelVariant
+from cassiarail.edge.registry.targets import ModelVariant
 
 # A wait is given up at most this long after it has become hopeless.
 _RECHECK_S = 0.25
--- a/cassiarail/platform/dialect.py
+++ b/cassiarail/platform/dialect.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from cassiarail.core.exceptions import RequestError
-from cassiarail.edge.configuration import Configuration
 from cassiarail.edge.dialect import (
     AttemptParameters,
     CallerRequest,
@@ -14,7 +13,8 @@
     ReportedLoad,
     ResponseFacts,
 )
-from cassiarail.edge.targets import Holdings, ModelVariant, Target
+from cassiarail.edge.registry.configuration import Configuration
+from cassiarail.edge.registry.targets import Holdings, ModelVariant, Target
 from cassiarail.http1.messages import (
     RequestHead,
     ResponseHead,
--- a/cassiarail/platform/documents.py
+++ b/cassiarail/platform/documents.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from cassiarail.edge.configuration import (
+from cassiarail.edge.dialect import UnreadableDocumentError
+from cassiarail.edge.registry.configuration import (
     Configuration,
     EngineType,
     Model,
@@ -13,8 +14,7 @@
     Service,
     ServiceShare,
 )
-from cassiarail.edge.dialect import UnreadableDocumentError
-from cassiarail.edge.targets import Holdings, Target
+from cassiarail.edge.registry.targets import Holdings, Target
 from cassiarail.http1.assembly import ClientLimits
 from cassiarail.http1.pool import Address
 
--- a/tests/edge/test_leader.py
+++ b/tests/edge/engines/test_leader.py
@@ -4,7 +4,7 @@
 import contextlib
 
 from cassiarail.core.loops import run_virtual
-from cassiarail.edge.leader import LeaderParts, PlacementLeader
+from cassiarail.edge.engines.leader import LeaderParts, PlacementLeader
 
 PLAN_S = 0.01
 LENGTH_S = 2.0
--- a/tests/edge/test_orders.py
+++ b/tests/edge/engines/test_orders.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from cassiarail.core.clock import BootClock
-from cassiarail.edge.engines import EngineRecords
-from cassiarail.edge.orders import OrderSender
-from cassiarail.edge.targets import Target
+from cassiarail.edge.engines.orders import OrderSender
+from cassiarail.edge.engines.records import EngineRecords
+from cassiarail.edge.registry.targets import Target
 from cassiarail.http1.pool import ConnectionPool, PoolRules
 from cassiarail.placement.fleet import Step
 from cassiarail.platform.dialect import PlatformDialect
--- a/tests/edge/test_election.py
+++ b/tests/edge/fleet/test_election.py
@@ -12,8 +12,8 @@
 
 from cassiarail.core.clock import ManualClock
 from cassiarail.core.exceptions import StoreError
-from cassiarail.edge.election import ElectionRules, LeaderElection
-from cassiarail.edge.orders import ORDER_TIMEOUT_S
+from cassiarail.edge.engines.orders import ORDER_TIMEOUT_S
+from cassiarail.edge.fleet.election import ElectionRules, LeaderElection
 from cassiarail.store.backends.memory import MemoryObjectStore
 from cassiarail.store.leases import Lease
 from cassiarail.store.writes import ConditionalWriter
--- a/tests/edge/test_presence.py
+++ b/tests/edge/fleet/test_presence.py
@@ -11,22 +11,22 @@
 
 from cassiarail.core.clock import LoopClock
 from cassiarail.core.loops import run_virtual
-from cassiarail.edge.broadcast import Broadcaster, Host
-from cassiarail.edge.demand import DemandMeter
-from cassiarail.edge.fleet_demand import FleetDemand
-from cassiarail.edge.messages import EngineRow
-from cassiarail.edge.peers import PeerLink
-from cassiarail.edge.presence import Presence, PresenceParts
-from cassiarail.edge.state_updates import StateUpdateReceiver
-from cassiarail.edge.suspects import CrashSuspects
-from cassiarail.edge.targets import (
+from cassiarail.edge.fleet.broadcast import Broadcaster, Host
+from cassiarail.edge.fleet.demand import DemandMeter
+from cassiarail.edge.fleet.fleet_demand import FleetDemand
+from cassiarail.edge.fleet.messages import EngineRow
+from cassiarail.edge.fleet.peers import PeerLink
+from cassiarail.edge.fleet.presence import Presence, PresenceParts
+from cassiarail.edge.fleet.state_updates import StateUpdateReceiver
+from cassiarail.edge.fleet.traffic import PeerTraffic, TrafficRules
+from cassiarail.edge.registry.targets import (
     Holdings,
     ModelVariant,
     Target,
     TargetDirectory,
 )
-from cassiarail.edge.traffic import PeerTraffic, TrafficRules
-from cassiarail.edge.waiting import PlacementWaits
+from cassiarail.edge.requests.suspects import CrashSuspects
+from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.pool import Address
 
 # As on the large deployments: hosts, data centres, links, engines, orders.
--- a/tests/edge/test_state_update_machine.py
+++ b/tests/edge/fleet/test_state_update_machine.py
@@ -10,13 +10,13 @@
 )
 
 from cassiarail.core.clock import ManualClock
-from cassiarail.edge.broadcast import Host
-from cassiarail.edge.changes import ChangeLog
-from cassiarail.edge.entry_digest import EntryDigest
-from cassiarail.edge.rows import read_target
-from cassiarail.edge.state_updates import StateUpdateReceiver
-from cassiarail.edge.targets import TargetDirectory
-from tests.edge.test_state_updates import (
+from cassiarail.edge.fleet.broadcast import Host
+from cassiarail.edge.fleet.changes import ChangeLog
+from cassiarail.edge.fleet.entry_digest import EntryDigest
+from cassiarail.edge.fleet.rows import read_target
+from cassiarail.edge.fleet.state_updates import StateUpdateReceiver
+from cassiarail.edge.registry.targets import TargetDirectory
+from tests.edge.fleet.test_state_updates import (
     PEER,
     make_broadcaster,
     make_state_update,
--- a/tests/edge/test_state_updates.py
+++ b/tests/edge/fleet/test_state_updates.py
@@ -6,17 +6,17 @@
 import random
 
 from cassiarail.core.clock import ManualClock
-from cassiarail.edge.broadcast import Broadcaster, Host
-from cassiarail.edge.entry_digest import EntryDigest
-from cassiarail.edge.messages import (
+from cassiarail.edge.fleet.broadcast import Broadcaster, Host
+from cassiarail.edge.fleet.entry_digest import EntryDigest
+from cassiarail.edge.fleet.messages import (
     Relay,
     RemovedRow,
     StateUpdate,
     decode_message,
 )
-from cassiarail.edge.rows import describe_target, read_target
-from cassiarail.edge.state_updates import REORDER_S, StateUpdateReceiver
-from cassiarail.edge.targets import Holdings, Target, TargetDirectory
+from cassiarail.edge.fleet.rows import describe_target, read_target
+from cassiarail.edge.fleet.state_updates import REORDER_S, StateUpdateReceiver
+from cassiarail.edge.registry.targets import Holdings, Target, TargetDirectory
 from cassiarail.http1.pool import Address
 
 LEADER = Address('10.0.0.1', 7)
--- a/tests/edge/fleet.py
+++ b/tests/edge/harness.py
@@ -6,8 +6,9 @@
 from prometheus_client import CollectorRegistry
 
 from cassiarail.core.clock import BootClock
-from cassiarail.edge.attempts import AttemptRunner
-from cassiarail.edge.configuration import (
+from cassiarail.edge.fleet.demand import DemandMeter
+from cassiarail.edge.metrics import EdgeMetrics
+from cassiarail.edge.registry.configuration import (
     Configuration,
     CurrentConfiguration,
     EngineType,
@@ -17,13 +18,12 @@
     Service,
     ServiceShare,
 )
-from cassiarail.edge.demand import DemandMeter
-from cassiarail.edge.forwarding import Forwarder, ForwardingParts
-from cassiarail.edge.metrics import EdgeMetrics
-from cassiarail.edge.selection import TargetSelector
-from cassiarail.edge.suspects import CrashSuspects
-from cassiarail.edge.targets import Holdings, Target, TargetDirectory
-from cassiarail.edge.waiting import PlacementWaits
+from cassiarail.edge.registry.targets import Holdings, Target, TargetDirectory
+from cassiarail.edge.requests.attempts import AttemptRunner
+from cassiarail.edge.requests.forwarding import Forwarder, ForwardingParts
+from cassiarail.edge.requests.selection import TargetSelector
+from cassiarail.edge.requests.suspects import CrashSuspects
+from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.assembly import ClientLimits
 from cassiarail.http1.listener import Http1Listener
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
--- a/tests/edge/test_store_polling.py
+++ b/tests/edge/registry/test_store_polling.py
@@ -4,13 +4,13 @@
 
 from cassiarail.core.clock import LoopClock
 from cassiarail.core.loops import run_virtual
-from cassiarail.edge.state_updates import StateUpdateReceiver
-from cassiarail.edge.store_polling import (
+from cassiarail.edge.fleet.state_updates import StateUpdateReceiver
+from cassiarail.edge.registry.store_polling import (
     CheckPacer,
     ConfigurationPacer,
     TargetPacer,
 )
-from tests.edge.test_state_updates import make_state_update, receive
+from tests.edge.fleet.test_state_updates import make_state_update, receive
 
 # The shortest limit on requests to a leaving target.
 DRAIN_LIMIT_S = 2.0
--- a/tests/edge/test_targets.py
+++ b/tests/edge/registry/test_targets.py
@@ -1,7 +1,7 @@
 """Test which targets are used while the registry is unavailable or late."""
 
 from cassiarail.core.clock import ManualClock
-from cassiarail.edge.targets import (
+from cassiarail.edge.registry.targets import (
     REPORTED_HOLDINGS_TTL_S,
     RETURN_GRACE_S,
     Holdings,
--- a/tests/edge/test_event_stream.py
+++ b/tests/edge/requests/test_event_stream.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cassiarail.edge.event_stream import EventSplitter
+from cassiarail.edge.requests.event_stream import EventSplitter
 
 EVENTS = [b'id: %d\ndata: %s\n\n' % (n, b'x' * n) for n in range(1, 8)]
 
--- a/tests/edge/test_faulty_targets.py
+++ b/tests/edge/requests/test_faulty_targets.py
@@ -6,8 +6,8 @@
 
 import asyncio
 
-from cassiarail.edge.event_stream import EventSplitter
-from tests.edge.fleet import (
+from cassiarail.edge.requests.event_stream import EventSplitter
+from tests.edge.harness import (
     CONFIGURATION,
     NOT_RUN,
     Fleet,
@@ -15,7 +15,7 @@
     make_route,
     serve,
 )
-from tests.edge.test_forwarding import STREAM_HEAD, serve_stream
+from tests.edge.requests.test_forwarding import STREAM_HEAD, serve_stream
 from tests.http1.wire import ScriptedServer, run_with_timeout
 
 # A refusal that names no request, as for one that arrived without an id.
--- a/tests/edge/test_forwarding.py
+++ b/tests/edge/requests/test_forwarding.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from cassiarail.edge.configuration import RouteKind
+from cassiarail.edge.registry.configuration import RouteKind
 from cassiarail.limits.shared_budget import BudgetRules
-from tests.edge.fleet import (
+from tests.edge.harness import (
     CONFIGURATION,
     NOT_RUN,
     Fleet,
--- a/tests/edge/test_relay_fuzz.py
+++ b/tests/edge/requests/test_relay_fuzz.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.edge.fleet import Fleet, make_response
+from tests.edge.harness import Fleet, make_response
 from tests.http1.wire import ScriptedServer, run_with_timeout
 
 VALID = make_response(b'0123456789', headers='Keep-Alive: timeout=5\r\n')
--- a/tests/edge/test_suspects.py
+++ b/tests/edge/requests/test_suspects.py
@@ -1,7 +1,10 @@
 """Test that all hosts refuse a request that crashes engines."""
 
 from cassiarail.core.clock import ManualClock
-from cassiarail.edge.suspects import CRASHES_TO_QUARANTINE, CrashSuspects
+from cassiarail.edge.requests.suspects import (
+    CRASHES_TO_QUARANTINE,
+    CrashSuspects,
+)
 
 
 def test_a_request_is_refused_after_three_crashes_seen_on_two_hosts():
--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -10,8 +10,8 @@
 from absl import logging
 from hypothesis.stateful import run_state_machine_as_test
 
-from tests.edge.test_election import ElectionMachine
-from tests.edge.test_state_update_machine import UpdateMachine
+from tests.edge.fleet.test_election import ElectionMachine
+from tests.edge.fleet.test_state_update_machine import UpdateMachine
 
 _MACHINES = (UpdateMachine, ElectionMachine)
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,8 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cassiarail.edge.configuration import RouteKind
 from cassiarail.edge.dialect import UnreadableDocumentError
+from cassiarail.edge.registry.configuration import RouteKind
 from cassiarail.platform.documents import (
     decode_configuration,
     decode_report,
