--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -32,7 +32,6 @@
 from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.routing.reachability import ReachabilityTracker
-from cassiarail.store.breaker import StoreBreaker
 from cassiarail.store.leases import ORDERS_LEASE, Lease
 from cassiarail.store.observed import ObservedStore
 from cassiarail.store.writes import ConditionalWriter
@@ -55,7 +54,6 @@
     settings: EdgeSettings
     dialect: Dialect
     store: ObservedStore
-    breaker: StoreBreaker
     configuration: CurrentConfiguration
     directory: TargetDirectory
     reachability: ReachabilityTracker
@@ -109,7 +107,6 @@
         self.waits = PlacementWaits(lambda: self.presence.report_soon())
         self._hosts = HostRegistry(
             self._dependencies.store,
-            self._dependencies.breaker,
             (
                 settings['name'],
                 {
@@ -200,7 +197,8 @@
 
     def _may_compete(self) -> bool:
         """Return whether this host may become leader if it is not."""
-        return not (self._dependencies.breaker.is_open or self.is_stopping())
+        breaker = self._dependencies.store.breaker
+        return not (breaker.is_open or self.is_stopping())
 
     def _on_leadership_change(self, is_leader: bool) -> None:
         if is_leader:
--- a/cassiarail/edge/fleet/hosts.py
+++ b/cassiarail/edge/fleet/hosts.py
@@ -15,11 +15,10 @@
 from cassiarail.http1.pool import Address
 from cassiarail.store.backends.base import (
     Listing,
-    ObjectStore,
     StoredObject,
     WatchBatch,
 )
-from cassiarail.store.breaker import StoreBreaker
+from cassiarail.store.observed import ObservedStore
 from cassiarail.store.pacing import ContinuousPacer
 from cassiarail.store.watching import Follower, KindWatcher
 
@@ -76,8 +75,7 @@
 
     def __init__(
         self,
-        store: ObjectStore,
-        breaker: StoreBreaker,
+        store: ObservedStore,
         entry: tuple[str, Mapping[str, str]],
         is_needed: Callable[[], bool],
         clock: Clock,
@@ -86,7 +84,6 @@
         """Watch the other hosts while ``is_needed`` returns true."""
         self.hosts = HostList()
         self._store = store
-        self._breaker = breaker
         self._name = entry[0]
         self._document = entry[1]
         self._is_needed = is_needed
@@ -115,7 +112,7 @@
             else:
                 return
             await self._clock.sleep(_RETRY.delay(failures, self._generator))
-            await self._breaker.wait_until_closed()
+            await self._store.breaker.wait_until_closed()
 
     async def _write_entry(self) -> None:
         document = dict(self._document)
@@ -143,7 +140,7 @@
             self._clock,
             self._generator,
             ContinuousPacer(_WAIT_S),
-            self._breaker,
+            self._store.breaker,
         )
         async with anyio.create_task_group() as group:
             group.start_soon(watcher.run)
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -30,7 +30,6 @@
 from cassiarail.routing.outliers import OutlierDetector, OutlierRules
 from cassiarail.routing.reachability import ReachabilityTracker
 from cassiarail.store.backends.base import ObjectStore
-from cassiarail.store.breaker import StoreBreaker
 from cassiarail.store.monitor import Checkable
 from cassiarail.store.observed import ObservedStore
 from cassiarail.telemetry.line_writer import LineWriter
@@ -74,11 +73,9 @@
         self._directory = TargetDirectory(self._clock.monotonic)
         self._reachability = ReachabilityTracker(self._clock)
         self._earliest_selector = EarliestStartSelector(self._generator)
-        breaker = StoreBreaker()
         self._store = ObservedStore(
             dependencies.store,
             dependencies.checkable,
-            breaker,
             self._clock,
             self._registry,
         )
@@ -86,7 +83,6 @@
             settings,
             dependencies.dialect,
             self._store,
-            breaker,
             self._configuration,
             self._directory,
             self._reachability,
--- a/cassiarail/edge/registry/parts.py
+++ b/cassiarail/edge/registry/parts.py
@@ -40,11 +40,10 @@
             self._receiver,
             control.is_leader,
             control.count_hosts,
-            lambda: dependencies.breaker.is_open,
+            lambda: dependencies.store.breaker.is_open,
         )
         self.watches = Watches(
             dependencies.store,
-            dependencies.breaker,
             settings,
             self.targets,
             ConfigurationFollower(
--- a/cassiarail/edge/registry/watches.py
+++ b/cassiarail/edge/registry/watches.py
@@ -9,7 +9,6 @@
 from cassiarail.conf.edge import RegistrySettings
 from cassiarail.core.clock import Clock
 from cassiarail.core.lifecycle import Component
-from cassiarail.store.breaker import StoreBreaker
 from cassiarail.store.monitor import StoreMonitor
 from cassiarail.store.observed import ObservedStore
 from cassiarail.store.outages import OutageDetector
@@ -45,7 +44,6 @@
     def __init__(
         self,
         store: ObservedStore,
-        breaker: StoreBreaker,
         registry: RegistrySettings,
         targets: Follower,
         configuration: Follower,
@@ -67,7 +65,7 @@
             clock,
             generator,
             hooks.targets,
-            breaker,
+            store.breaker,
             on_response=outage_detector.record_success,
         )
         self._configuration = KindWatcher(
@@ -77,7 +75,7 @@
             clock,
             generator,
             hooks.configuration,
-            breaker,
+            store.breaker,
             on_response=outage_detector.record_success,
         )
         self._monitor = StoreMonitor(
@@ -88,7 +86,7 @@
             hooks.observe_lease,
             hooks.check_interval_s,
             outage_detector.record_success,
-            breaker,
+            store.breaker,
         )
 
     @property
--- a/cassiarail/store/observed.py
+++ b/cassiarail/store/observed.py
@@ -29,19 +29,21 @@
 
 
 class ObservedStore(ObjectStore, Checkable):
-    """Pass all calls to another client of the object API."""
+    """Pass all calls to another client of the object API.
+
+    ``breaker`` is open after a failed call until a later one succeeds.
+    """
 
     def __init__(
         self,
         store: ObjectStore,
         checkable: Checkable,
-        breaker: StoreBreaker,
         clock: Clock,
         registry: CollectorRegistry | None = None,
     ) -> None:
         self._store = store
         self._checkable = checkable
-        self._breaker = breaker
+        self.breaker = StoreBreaker()
         self._clock = clock
         self._calls: collections.Counter[str] = collections.Counter()
         self._failed = 0
@@ -133,8 +135,8 @@
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
             self._failed += 1
             self._total.labels(call, kind, 'failed').inc()
-            self._breaker.record_failure(error.message)
+            self.breaker.record_failure(error.message)
             raise
         self._total.labels(call, kind, 'answered').inc()
-        self._breaker.record_success()
+        self.breaker.record_success()
         return returned
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -154,6 +154,21 @@
         self.directory.put(target._replace(**changes))
         self.waits.wake()
 
+    async def send_with_successor(self, route, first, second, is_known=None):
+        """Send a request to one engine, and register another meanwhile.
+
+        ``is_known`` is set as soon as both are registered; until then the
+        first engine has to wait with what makes the host try the second one.
+        """
+        self.add(first, 'i-0')
+        pending = asyncio.ensure_future(self.send_request(route))
+        while not first.received:
+            await asyncio.sleep(0.001)
+        self.add(second, 'i-1')
+        if is_known is not None:
+            is_known.set()
+        return await pending
+
     async def send_request(self, route, headers='', body=b'', method='POST'):
         """Send a request and return all bytes of the response."""
         reader, writer = await asyncio.open_connection(*self.address)
--- a/tests/edge/requests/test_faulty_targets.py
+++ b/tests/edge/requests/test_faulty_targets.py
@@ -101,13 +101,9 @@
             ScriptedServer(serve(make_response(b'done'))) as sound,
             Fleet() as host,
         ):
-            host.add(slow, 'i-0')
-            pending = asyncio.ensure_future(host.send_request('file'))
-            while not slow.received:
-                await asyncio.sleep(0.001)
-            host.add(sound, 'i-1')
+            received = await host.send_with_successor('file', slow, sound)
             # Otherwise the request is refused at its deadline.
-            assert (await pending).endswith(b'done')
+            assert received.endswith(b'done')
 
     run_with_timeout(main)
 
@@ -129,13 +125,9 @@
         ),
     )
     async with interrupted, ScriptedServer(respond) as other, Fleet() as host:
-        host.add(interrupted, 'i-0')
-        pending = asyncio.ensure_future(host.send_request('resume'))
-        while not interrupted.received:
-            await asyncio.sleep(0.001)
-        host.add(other, 'i-1')
-        is_known.set()
-        received = await pending
+        received = await host.send_with_successor(
+            'resume', interrupted, other, is_known
+        )
         assert other.received
         return received
 
@@ -258,12 +250,7 @@
             ScriptedServer(serve_stream(b'id: 2\ndata: b\n\n')) as sound,
             Fleet(configuration) as host,
         ):
-            host.add(stalled, 'i-0')
-            pending = asyncio.ensure_future(host.send_request('drip'))
-            while not stalled.received:
-                await asyncio.sleep(0.001)
-            host.add(sound, 'i-1')
-            received = await pending
+            received = await host.send_with_successor('drip', stalled, sound)
             assert received.endswith(b'0\r\n\r\n')
             assert b'id: 2\n' in received
             assert b'x' not in received.partition(b'id: 1')[2]
@@ -289,12 +276,7 @@
             ScriptedServer(serve()) as idle,
             Fleet() as host,
         ):
-            host.add(slow, 'i-0')
-            pending = asyncio.ensure_future(host.send_request('resume'))
-            while not slow.received:
-                await asyncio.sleep(0.001)
-            host.add(idle, 'i-1')
-            received = await pending
+            received = await host.send_with_successor('resume', slow, idle)
             assert received.endswith(b'0\r\n\r\n')
             assert not idle.received
 
--- a/tests/edge/requests/test_forwarding.py
+++ b/tests/edge/requests/test_forwarding.py
@@ -198,13 +198,9 @@
         )
         resumed = ScriptedServer(serve_stream(b'id: 3\ndata: c\n\n'))
         async with interrupted, resumed, Fleet() as host:
-            host.add(interrupted, 'i-0')
-            pending = asyncio.ensure_future(host.send_request('resume'))
-            while not interrupted.received:
-                await asyncio.sleep(0.001)
-            host.add(resumed, 'i-1')
-            is_known.set()
-            received = await pending
+            received = await host.send_with_successor(
+                'resume', interrupted, resumed, is_known
+            )
         assert received.count(b'id: 1\n') == 1
         assert received.count(b'id: 3\n') == 1
         assert received.endswith(b'0\r\n\r\n')
--- a/tests/store/test_breaker.py
+++ b/tests/store/test_breaker.py
@@ -12,7 +12,6 @@
 from cassiarail.core.exceptions import StoreUnavailableError
 from cassiarail.core.loops import run_virtual
 from cassiarail.store.backends.base import Listing, ObjectStore, WatchBatch
-from cassiarail.store.breaker import StoreBreaker
 from cassiarail.store.monitor import (
     CHECK_INTERVAL_S,
     Checkable,
@@ -75,8 +74,8 @@
     clock = LoopClock()
     generator = random.Random(1)
     backend = UnstableStore()
-    breaker = StoreBreaker()
-    store = ObservedStore(backend, backend, breaker, clock)
+    store = ObservedStore(backend, backend, clock)
+    breaker = store.breaker
     watchers = [
         KindWatcher(
             store,
@@ -129,9 +128,9 @@
 def test_a_failed_call_is_repeated_as_soon_as_a_check_succeeds():
     async def main():
         clock = LoopClock()
-        breaker = StoreBreaker()
         backend = UnstableStore()
-        store = ObservedStore(backend, backend, breaker, clock)
+        store = ObservedStore(backend, backend, clock)
+        breaker = store.breaker
         breaker.record_failure('interrupted')
         monitor = StoreMonitor(
             store,
