--- a/review/standins.py
+++ b/review/standins.py
@@ -874,7 +874,6 @@
                 env={
                     'PATH': os.environ['PATH'],
                     'PYTHONPATH': str(ROOT / 'target' / 'deps'),
-                    'PYTHONDONTWRITEBYTECODE': '1',
                     'CASSIARAIL_SETTINGS': str(path),
                 },
             )
