--- a/review/2/case.py
+++ b/review/2/case.py
@@ -118,7 +118,7 @@
         f' {SLACK_S} s later: {len(late)}'
     )
     for line in node.read_log().splitlines():
-        if 'LocalProtocolError' in line or '"event":2101' in line:
+        if '"event":2101' in line:
             record.note(f'log of the process: {line}')
     is_broken = len(late) >= MIN_LATE and len(late) > len(unanswered) / 2
     return st.BROKEN if is_broken else st.HELD
