Check each load against one account of its engine's memory

Cause: AdapterPlanner counted adapter slots, not memory; only the planner of weights knew sizes. Related: adapters in transit were left out of reports, a copy took the newest configured size instead of that of its load, a model that left the configuration counted as 80 GB, and sizes were rounded down.

Every load that plan_steps returns now passes MemoryAccount, so no planner can leave the check out.

--- a/cassiarail/edge/engines/leader.py
+++ b/cassiarail/edge/engines/leader.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import NamedTuple
 
 import anyio
@@ -150,10 +150,11 @@
             if may_order and record.is_report_due(now):
                 self._start(record, self._read_report(record))
         for service, engine in self._list_services():
-            for step in plan_steps(self._describe_fleet(service, engine)):
-                self._begin_step(step)
+            fleet = self._describe_fleet(service, engine)
+            for step in plan_steps(fleet):
+                self._begin_step(step, fleet.models)
 
-    def _begin_step(self, step: Step) -> None:
+    def _begin_step(self, step: Step, models: Mapping[str, ModelFacts]) -> None:
         record = next(
             each
             for each in self._records
@@ -164,6 +165,8 @@
             return
         if step.is_store_load:
             self._parts.budget.record()
+        if step.is_load:
+            record.record_sizes(models, step.model)
         self._start(record, self._send_order(record, step))
 
     def _start(
@@ -236,6 +239,10 @@
     def _describe_fleet(self, service: str, engine: EngineType) -> Fleet:
         demand = self._parts.demand
         adapter_idle_s = demand.adapter_idle_s(service)
+        models = describe_models(engine)
+        for each in self._records:
+            if each.target.service == service:
+                each.record_sizes(models)
         return Fleet(
             engines=tuple(
                 record.describe(
@@ -249,7 +256,7 @@
                     record.target.identity
                 )
             ),
-            models=describe_models(engine),
+            models=models,
             demand=demand.summarize_models(service),
             adapter_waiting=demand.count_waiting_by_adapter(service),
             store_loads=self._parts.budget.remaining(engine.loads_per_s),
--- a/cassiarail/edge/engines/records.py
+++ b/cassiarail/edge/engines/records.py
@@ -4,7 +4,7 @@
 
 from cassiarail.core.clock import Clock
 from cassiarail.edge.registry.targets import Holdings, ModelVariant, Target
-from cassiarail.placement.fleet import EngineState
+from cassiarail.placement.fleet import EngineState, HeldSize, ModelFacts
 
 # Time from an order until its adapter is ready: ten milliseconds plus what the
 # fullest store adds.
@@ -40,6 +40,7 @@
         self.report_after = float(0)
         self.loaded_at: dict[str, float] = {}
         self.changed_at = float(0)
+        self._sizes: dict[str, HeldSize] = {}
         self._clock = clock
 
     def update(self, entry: Target) -> None:
@@ -140,6 +141,21 @@
             self.intended = model
             self.intended_until = self._clock.monotonic() + _INTENDED_TTL_S
 
+    def record_sizes(
+        self, models: Mapping[str, ModelFacts], ordered: str = ''
+    ) -> None:
+        """Record the largest configured sizes of the models in memory.
+
+        ``ordered`` is a model that an order is about to load.
+        """
+        names = {*self.holdings.models, ordered}
+        if self.loading:
+            names.add(self.loading.model)
+        for name in names.intersection(models):
+            facts = models[name]
+            size = HeldSize(facts.weights_bytes, facts.adapter_bytes)
+            self._sizes[name] = size.combine(self._sizes.get(name))
+
     def describe(
         self,
         capacity_bytes: int,
@@ -165,6 +181,7 @@
                 for model, loaded_at in self.loaded_at.items()
             },
             adapter_idle_s=adapter_idle_s,
+            sizes=self._sizes,
         )
 
     def idle_s(self) -> float:
@@ -221,6 +238,12 @@
         if self.loading and self.loading.model in holdings.models:
             self.loading = None
         self.holdings = holdings
+        loading = self.loading.model if self.loading else ''
+        self._sizes = {
+            name: size
+            for name, size in self._sizes.items()
+            if name in holdings.models or name == loading
+        }
 
 
 class EngineRecords:
--- a/cassiarail/edge/requests/load_times.py
+++ b/cassiarail/edge/requests/load_times.py
@@ -1,7 +1,11 @@
 """Estimate when an engine can serve the model that a request needs."""
 
 from cassiarail.edge.fleet.presence import Presence
-from cassiarail.edge.registry.configuration import CurrentConfiguration, Model
+from cassiarail.edge.registry.configuration import (
+    CurrentConfiguration,
+    EngineType,
+    Model,
+)
 from cassiarail.edge.registry.targets import (
     ModelVariant,
     Target,
@@ -11,6 +15,9 @@
 # From the demand report of a request to the engine's accepted order and back.
 _ORDER_S = 0.15
 _ADAPTER_S = 0.05
+# Unloading a model that leaves an adapter no memory waits for its running
+# requests, for about this long.
+_ROOM_S = 1.5
 # A lease has to expire and the hold-off of a new leader to pass.
 _NO_LEADER_S = 4.0
 
@@ -32,7 +39,14 @@
         """Return the seconds until a model variant can be used."""
         targets = self._directory.of_service(service)
         wait_s = 0 if self._presence.has_leader() else _NO_LEADER_S
-        if any(variant.model in each.holdings.models for each in targets):
+        holders = [
+            each for each in targets if variant.model in each.holdings.models
+        ]
+        if holders:
+            if variant.adapter and not self._has_room(
+                service, variant, holders
+            ):
+                wait_s += _ROOM_S
             return wait_s + _ADAPTER_S
         announced_s = self._presence.seconds_until_ready(service, variant.model)
         if announced_s is not None:
@@ -41,23 +55,50 @@
             wait_s + _ORDER_S + self._shortest_load_s(service, variant, targets)
         )
 
+    def _has_room(
+        self, service: str, variant: ModelVariant, holders: list[Target]
+    ) -> bool:
+        """Return whether evicting adapters is enough to load another one."""
+        engine = self._find_engine(service)
+        if engine is None or variant.model not in engine.models:
+            return True
+        needed_bytes = engine.models[variant.model].adapter_bytes
+        return any(
+            needed_bytes <= _free_without_adapters(engine, each)
+            for each in holders
+        )
+
+    def _find_engine(self, service: str) -> EngineType | None:
+        current = self._configuration.current
+        found = current.services.get(service) if current else None
+        return found.engine if found else None
+
     def _shortest_load_s(
         self,
         service: str,
         variant: ModelVariant,
         targets: list[Target],
     ) -> float:
-        current = self._configuration.current
-        found = current.services.get(service) if current else None
-        if found is None or found.engine is None:
+        engine = self._find_engine(service)
+        if engine is None:
             return _NO_LEADER_S
-        model = found.engine.models[variant.model]
+        model = engine.models[variant.model]
         return min(
             (_load_time_s(model, target) for target in targets),
             default=model.store_load_s,
         )
 
 
+def _free_without_adapters(engine: EngineType, target: Target) -> int:
+    """Return the memory that models leave; an unknown one leaves none."""
+    held = target.holdings.models
+    if not engine.adapter_slots or not engine.models.keys() >= held.keys():
+        return -1
+    return engine.weights_bytes - sum(
+        engine.models[name].weights_bytes for name in held
+    )
+
+
 def _load_time_s(model: Model, target: Target) -> float:
     if model.name in target.holdings.in_memory:
         return model.memory_load_s
--- a/cassiarail/placement/fleet.py
+++ b/cassiarail/placement/fleet.py
@@ -35,13 +35,34 @@
     objective_s: float = 0
 
 
+class HeldSize(NamedTuple):
+    """Hold the bytes of a model's weights and of each of its adapters."""
+
+    weights_bytes: int
+    adapter_bytes: int
+
+    def combine(self, other: 'HeldSize | None') -> 'HeldSize':
+        """Return the larger of each size."""
+        if other is None:
+            return self
+        return HeldSize(
+            max(self.weights_bytes, other.weights_bytes),
+            max(self.adapter_bytes, other.adapter_bytes),
+        )
+
+    def total(self, adapter_count: int) -> int:
+        """Return the bytes of the weights and some adapters."""
+        return self.weights_bytes + adapter_count * self.adapter_bytes
+
+
 class EngineState(NamedTuple):
     """Describe an engine that accepts orders.
 
     ``held`` maps models to their adapters. ``intended`` is the model for
     which others were unloaded. A busy engine accepts the next order in about
     ``free_in_s`` seconds. ``loaded_s`` is the time since a model was loaded,
-    ``adapter_idle_s`` the time since an adapter was last requested.
+    ``adapter_idle_s`` the time since an adapter was last requested. ``sizes``
+    holds the largest configured sizes of models while the engine held them.
     """
 
     name: str
@@ -57,6 +78,7 @@
     on_disk: frozenset[str] = frozenset()
     loaded_s: Mapping[str, float] = {}
     adapter_idle_s: Mapping[tuple[str, str], float] = {}
+    sizes: Mapping[str, HeldSize] = {}
 
 
 class Step(NamedTuple):
--- a/cassiarail/placement/impact.py
+++ b/cassiarail/placement/impact.py
@@ -15,6 +15,7 @@
     count_adapters,
     list_models,
 )
+from cassiarail.placement.memory import MemoryAccount
 
 # One copy serves requests up to this share of the slots of its engine.
 COPY_SHARE = 0.45
@@ -42,8 +43,6 @@
 _MOVE_COST = 0.2
 # Breaks ties between idle models: the longest idle one is evicted first.
 _RECENCY_WEIGHT = 0.1
-# A model without a configuration counts as a large one.
-_UNKNOWN_BYTES = 80_000_000_000
 _NO_DEMAND = ModelDemand(idle_s=float('inf'), objective_s=float('inf'))
 
 
@@ -52,6 +51,7 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self.copies: collections.Counter[str] = collections.Counter()
+        self.memory = MemoryAccount(fleet.models)
         self._fleet = fleet
         self._slots = max((each.slots for each in fleet.engines), default=1)
         self._largest_adapter = max(
@@ -139,25 +139,15 @@
         cost += demand.in_flight / copies * _DRAIN_S
         return cost + _MOVE_COST + _RECENCY_WEIGHT / (1 + demand.idle_s)
 
-    def used_bytes(self, engine: EngineState) -> int:
-        """Return the memory that models and adapters use or may use."""
-        used = sum(
-            self.bytes_of(name, adapters)
-            for name, adapters in engine.held.items()
-        )
-        if engine.loading and engine.loading not in engine.held:
-            used += self.bytes_of(engine.loading, frozenset())
-        # Reserve memory for free adapter slots: orders for adapters may arrive
-        # while a model loads.
-        free = engine.adapter_slots - count_adapters(engine)
-        return used + self._largest_adapter * max(0, free)
-
-    def bytes_of(self, name: str, adapters: frozenset[str]) -> int:
-        """Return the memory of a model and its adapters."""
-        facts = self._fleet.models.get(name)
-        if facts is None:
-            return _UNKNOWN_BYTES
-        return facts.weights_bytes + facts.adapter_bytes * len(adapters)
+    def free_bytes(self, engine: EngineState) -> int:
+        """Return the memory that another model may use.
+
+        Memory for free adapter slots is reserved: orders for adapters may
+        arrive while the model loads.
+        """
+        free_slots = engine.adapter_slots - count_adapters(engine)
+        reserve = self._largest_adapter * max(0, free_slots)
+        return self.memory.free_bytes(engine) - reserve
 
     def adapter_rate(self, engine: EngineState) -> float:
         """Return the requests per second that may need an adapter there.
--- a/cassiarail/placement/ondemand.py
+++ b/cassiarail/placement/ondemand.py
@@ -55,21 +55,32 @@
 
 def plan_steps(fleet: Fleet) -> list[Step]:
     """Return at most one order for each engine."""
-    steps = list(AdapterPlanner(fleet).plan())
+    impact = ImpactModel(fleet)
+    steps = list(AdapterPlanner(fleet, impact).plan())
     used_engines = {step.engine for step in steps}
-    planner = _ModelPlanner(fleet, used_engines)
+    planner = _ModelPlanner(fleet, impact, used_engines)
     steps.extend(planner.plan())
     steps.extend(
-        plan_preloads(fleet, planner.impact, used_engines, planner.store_loads),
+        plan_preloads(fleet, impact, used_engines, planner.store_loads),
     )
-    return steps
+    engines = {engine.name: engine for engine in fleet.engines}
+    return [
+        step
+        for step in steps
+        if impact.memory.allows(engines[step.engine], step)
+    ]
 
 
 class _ModelPlanner:
     """Plan swaps for one snapshot; add the engines to ``used_engines``."""
 
-    def __init__(self, fleet: Fleet, used_engines: set[str]) -> None:
-        self.impact = ImpactModel(fleet)
+    def __init__(
+        self,
+        fleet: Fleet,
+        impact: ImpactModel,
+        used_engines: set[str],
+    ) -> None:
+        self.impact = impact
         self.store_loads = fleet.store_loads
         self._fleet = fleet
         self._used_engines = used_engines
--- a/cassiarail/placement/swaps.py
+++ b/cassiarail/placement/swaps.py
@@ -21,17 +21,27 @@
 
     The victims are ``None`` if evicting all candidates frees too little.
     """
-    free = engine.capacity_bytes - impact.used_bytes(engine)
+    missing_bytes = model.weights_bytes - impact.free_bytes(engine)
+    return find_victims(missing_bytes, engine, candidates, impact)
+
+
+def find_victims(
+    missing_bytes: int,
+    engine: EngineState,
+    candidates: Iterable[str],
+    impact: ImpactModel,
+) -> tuple[tuple[str, ...] | None, float]:
+    """Return the cheapest models whose eviction frees the missing bytes."""
     victims: list[str] = []
     eviction_cost = float(0)
     by_cost = sorted((impact.eviction_cost(name), name) for name in candidates)
     for each_cost, name in by_cost:
-        if free >= model.weights_bytes:
+        if missing_bytes <= 0:
             break
         victims.append(name)
         eviction_cost += each_cost
-        free += impact.bytes_of(name, engine.held[name])
-    if free < model.weights_bytes:
+        missing_bytes -= impact.memory.held_bytes(engine, name)
+    if missing_bytes > 0:
         return None, 0
     return tuple(victims), eviction_cost
 
--- a/cassiarail/platform/documents.py
+++ b/cassiarail/platform/documents.py
@@ -1,6 +1,8 @@
 """Decode documents of the platform's store into internal types."""
 
 import ipaddress
+import math
+from collections.abc import Mapping
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -57,13 +59,17 @@
 
 
 class _EngineReport(msgspec.Struct):
-    """Define an engine's report; ``seq`` counts its accepted orders."""
+    """Define an engine's report; ``seq`` counts its accepted orders.
+
+    ``coming`` lists adapters in transit, as MODEL/ADAPTER@VERSION.
+    """
 
     models: list[_LoadedModel]
     seq: _WholeNumber
     busy: bool
     born: _WholeNumber = 0
     at_hand: _ModelCopies | None = None
+    coming: list[str] = []
 
 
 class _WeightedService(msgspec.Struct):
@@ -168,7 +174,8 @@
     except (ValueError, RecursionError) as error:
         raise UnreadableDocumentError(f'report: {error}') from error
     holdings = _convert_holdings(report.seq, report.models, report.at_hand)
-    return report.born, holdings, report.busy
+    models = _add_coming(holdings.models, report.coming)
+    return report.born, holdings._replace(models=models), report.busy
 
 
 def decode_configuration(document: Any) -> Configuration:
@@ -209,6 +216,20 @@
     )
 
 
+def _add_coming(
+    models: Mapping[str, frozenset[str]], coming: list[str]
+) -> dict[str, frozenset[str]]:
+    """Add adapters in transit, which take slots and memory already."""
+    changed = dict(models)
+    for text in coming:
+        model, _, versioned = text.partition('/')
+        adapter = versioned.partition('@')[0]
+        held = changed.get(model)
+        if held is not None and adapter:
+            changed[model] = held | {adapter}
+    return changed
+
+
 def _convert_route(route: _RouteEntry) -> Route:
     shares = [ServiceShare(part.service, part.wt) for part in route.split]
     if not shares:
@@ -249,9 +270,9 @@
 def _convert_model(model: _ModelSpec) -> Model:
     return Model(
         name=model.name,
-        weights_bytes=int(model.weights_mb * _MEGABYTE),
+        weights_bytes=math.ceil(model.weights_mb * _MEGABYTE),
         adapter_count=model.adapters,
-        adapter_bytes=int(model.adapter_mb * _MEGABYTE),
+        adapter_bytes=math.ceil(model.adapter_mb * _MEGABYTE),
         store_load_s=model.load_s,
         disk_load_s=model.load_s if model.disk_s is None else model.disk_s,
         memory_load_s=model.load_s if model.warm_s is None else model.warm_s,
--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -14,12 +14,14 @@
 from tests.edge.fleet.test_state_update_machine import UpdateMachine
 from tests.edge.registry.test_availability_machine import AvailabilityMachine
 from tests.limits.test_attribution_machine import AttributionMachine
+from tests.placement.test_memory_machine import MemoryMachine
 
 _MACHINES = (
     UpdateMachine,
     ElectionMachine,
     AvailabilityMachine,
     AttributionMachine,
+    MemoryMachine,
 )
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -81,6 +81,18 @@
     assert (born_ms, holdings.order_count, is_busy) == (5, 4, True)
 
 
+def test_adapters_in_transit_count_as_held():
+    # A new leader ordered more adapters than the engine has places for.
+    report = {
+        'models': [{'name': 'm', 'version': 1, 'adapters': ['a1']}],
+        'seq': 3,
+        'busy': False,
+        'coming': ['m/a2@4', 'other/a1@1', 'invalid'],
+    }
+    _born_ms, holdings, _is_busy = decode_report(msgspec.json.encode(report))
+    assert holdings.models == {'m': frozenset(('a1', 'a2'))}
+
+
 @pytest.mark.parametrize(
     'change',
     [
