Give the end of a request one owner

Callers of repeatable requests got 503, "not run", after an engine had run the request and crashed.

Cause: Forwarder checks the quarantines before each attempt and raised a refusal whatever the request had had; _serve answered each refusal with a 503. After the head of a stream h11 raises LocalProtocolError, with which the task ended. Nobody closed the connection and nothing was logged.

endings.end_request decides now for every path, from what the exchange has sent and what the attempts had. The listener closes and logs each request whose handler ends without a complete response, so that no path can be left out. The gateway's writer sends nothing after a complete response.

--- a/cassiarail/edge/requests/attempts.py
+++ b/cassiarail/edge/requests/attempts.py
@@ -262,7 +262,6 @@
     ) -> AttemptResult:
         response = await self._read_response(job, connection, head)
         self._observer.record_answer(job.shared_parts)
-        job.response_started = True
         job.exchange.respond(*response)
         return AttemptResult(Outcome.SUCCEEDED, f'status {head.status}')
 
--- a/cassiarail/edge/requests/forwarding.py
+++ b/cassiarail/edge/requests/forwarding.py
@@ -7,7 +7,6 @@
 
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import RequestError
-from cassiarail.core.verdict import Verdict
 from cassiarail.edge.crashes.quarantines import Quarantines
 from cassiarail.edge.dialect import Dialect
 from cassiarail.edge.events import (
@@ -25,13 +24,13 @@
 )
 from cassiarail.edge.registry.targets import ModelVariant, Target
 from cassiarail.edge.requests.attempts import AttemptRunner
+from cassiarail.edge.requests.endings import end_request, refuse
 from cassiarail.edge.requests.jobs import AttemptResult, Job, Outcome
 from cassiarail.edge.requests.refusals import Refusal, build_stop_refusal
 from cassiarail.edge.requests.selection import TargetSelector
 from cassiarail.edge.requests.suspects import CrashSuspects
 from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.exchanges import Exchange
-from cassiarail.http1.messages import Headers
 from cassiarail.limits.crash_attribution import Quarantine
 from cassiarail.limits.shared_budget import SharedBudget
 from cassiarail.routing.outliers import OutlierDetector
@@ -47,6 +46,11 @@
 _NETWORK_MARGIN_S = 0.1
 _WAIT_SHARE = 0.8
 _DEADLINE_MARGIN_S = 0.01
+_INTERNAL_ERROR = Refusal(
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+    'internal error of this host',
+    _RETRY_AFTER_S,
+)
 
 
 class ForwardingParts(NamedTuple):
@@ -89,18 +93,22 @@
                 timeout.reschedule(now)
 
     async def forward(self, exchange: Exchange) -> None:
-        """Forward one request and send its response; never raise."""
+        """Forward one request and send its response."""
         try:
             job = self._admit(exchange)
         except Refusal as refusal:
-            self._refuse(exchange, refusal)
+            self._refuse_unadmitted(exchange, refusal)
             return
         except RequestError as error:
-            self._refuse(
+            self._refuse_unadmitted(
                 exchange,
                 Refusal(http.HTTPStatus.BAD_REQUEST, error.message),
             )
             return
+        except Exception as error:
+            emit_event(REQUEST_CRASHED, peer=exchange.peer, error=repr(error))
+            self._refuse_unadmitted(exchange, _INTERNAL_ERROR)
+            return
         with self._parts.demand.track(
             job.service.name,
             job.request.variant,
@@ -125,22 +133,18 @@
         return Job(exchange, request, configuration, route)
 
     async def _serve(self, job: Job) -> None:
-        ending = 'crashed'
+        ending = 'caller left'
         try:
             ending = await self._serve_with_timeout(job)
-        except asyncio.CancelledError:
-            ending = 'caller left'
-            raise
         except Refusal as refusal:
-            ending = f'refused: {refusal.reason}'
-            self._refuse(job.exchange, refusal, job)
+            ending = end_request(job, refusal)
         except Exception as error:
             emit_event(
                 REQUEST_CRASHED,
                 request=job.request.request_id,
                 error=repr(error),
             )
-            self._fail(job, http.HTTPStatus.BAD_GATEWAY)
+            ending = end_request(job, _INTERNAL_ERROR)
         finally:
             self._record_end(job, ending)
 
@@ -152,39 +156,31 @@
             async with timeout:
                 last_attempt = await self._try_targets(job)
         except TimeoutError:
-            if job.response_started:
-                job.exchange.abort()
-            elif job.verdict is Verdict.NOT_RUN:
-                raise Refusal(
-                    http.HTTPStatus.SERVICE_UNAVAILABLE,
-                    'no target was free in time',
-                    _RETRY_AFTER_S,
-                ) from None
-            else:
-                self._fail(job, http.HTTPStatus.GATEWAY_TIMEOUT)
-            return 'out of time'
+            return self._end_late(job)
         finally:
             self._timeouts.discard(timeout)
-        return self._conclude(job, last_attempt)
-
-    def _conclude(self, job: Job, last_attempt: AttemptResult) -> str:
         if last_attempt.outcome is Outcome.SUCCEEDED:
             return 'answered'
-        if job.response_started:
-            job.exchange.abort()
-            return 'stream broken off'
-        failures = [each for each in job.attempts if each.response is not None]
-        if failures and failures[-1].response is not None:
-            job.exchange.respond(*failures[-1].response)
-            return 'failure of the target'
-        if job.verdict is Verdict.NOT_RUN:
-            raise Refusal(
+        return end_request(
+            job,
+            Refusal(
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
                 last_attempt.reason,
                 self._parts.selector.pause_s(job) or _RETRY_AFTER_S,
-            )
-        self._fail(job, http.HTTPStatus.BAD_GATEWAY)
-        return 'outcome unknown'
+            ),
+        )
+
+    def _end_late(self, job: Job) -> str:
+        ending = end_request(
+            job,
+            Refusal(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                'no target was free in time',
+                _RETRY_AFTER_S,
+            ),
+            http.HTTPStatus.GATEWAY_TIMEOUT,
+        )
+        return f'out of time: {ending}'
 
     async def _try_targets(self, job: Job) -> AttemptResult:
         while True:
@@ -332,31 +328,15 @@
             )
         return self._parts.estimate_load_s(job.service.name, variant)
 
-    def _fail(self, job: Job, status: int) -> None:
-        if job.response_started:
-            job.exchange.abort()
-            return
-        _respond(job.exchange, status, 'the request may have run', [])
-
-    def _refuse(
-        self,
-        exchange: Exchange,
-        refusal: Refusal,
-        job: Job | None = None,
-    ) -> None:
-        headers: Headers = []
-        if refusal.retry_after_s is not None:
-            text = f'{refusal.retry_after_s:.2f}'
-            headers.append((b'retry-after', text.encode()))
-        _respond(exchange, refusal.status, refusal.reason, headers)
-        if job is None:
-            emit_event(
-                REQUEST_REFUSED,
-                peer=exchange.peer,
-                target=exchange.head.target.decode('latin-1'),
-                status=refusal.status,
-                reason=refusal.reason,
-            )
+    def _refuse_unadmitted(self, exchange: Exchange, refusal: Refusal) -> None:
+        refuse(exchange, refusal)
+        emit_event(
+            REQUEST_REFUSED,
+            peer=exchange.peer,
+            target=exchange.head.target.decode('latin-1'),
+            status=refusal.status,
+            reason=refusal.reason,
+        )
 
     def _record_end(self, job: Job, ending: str) -> None:
         seconds = asyncio.get_running_loop().time() - job.exchange.received_at
@@ -383,16 +363,3 @@
 
 def _may_repeat(job: Job) -> bool:
     return job.route.may_repeat and job.possible_runs < job.route.attempts
-
-
-def _respond(
-    exchange: Exchange,
-    status: int,
-    reason: str,
-    headers: Headers,
-) -> None:
-    exchange.respond(
-        status,
-        [(b'content-type', b'text/plain'), *headers],
-        reason.encode(),
-    )
--- a/cassiarail/edge/requests/jobs.py
+++ b/cassiarail/edge/requests/jobs.py
@@ -11,7 +11,7 @@
 from cassiarail.edge.registry.configuration import Configuration, Route, Service
 from cassiarail.edge.registry.targets import Target
 from cassiarail.edge.requests.event_stream import EventSplitter
-from cassiarail.http1.exchanges import Exchange
+from cassiarail.http1.exchanges import Exchange, ResponseProgress
 from cassiarail.http1.messages import Headers
 
 _DIGEST_BYTES = 12
@@ -93,7 +93,6 @@
             request, route
         )
         self.splitter = EventSplitter() if route.can_resume else None
-        self.response_started = False
         self.tried_targets: list[Target] = []
         self.attempts: list[AttemptResult] = []
         self.in_flight = False
@@ -107,6 +106,11 @@
         """Return the parts of the prompt that other requests may share."""
         return self._shared_parts
 
+    @property
+    def response_started(self) -> bool:
+        """Return whether the caller was sent the head of a response."""
+        return self.exchange.progress is not ResponseProgress.NOT_BEGUN
+
     @property
     def verdict(self) -> Verdict:
         """Return whether the request may have run so far."""
--- a/cassiarail/edge/requests/stream_heads.py
+++ b/cassiarail/edge/requests/stream_heads.py
@@ -18,7 +18,6 @@
 def begin_stream(job: Job, head: ResponseHead) -> None:
     """Send the head of the first target that streams; it stays in force."""
     if not job.response_started:
-        job.response_started = True
         job.exchange.begin_stream(head.status, strip_hop_headers(head.headers))
 
 
--- a/cassiarail/gateway/responses.py
+++ b/cassiarail/gateway/responses.py
@@ -32,6 +32,7 @@
         self._headers = list(headers)
         self._close = close
         self.is_started = False
+        self.is_complete = False
         self.code = ''
         self.verdict = Verdict.NOT_RUN
 
@@ -59,6 +60,7 @@
         """Send a complete response."""
         length = ('content-length', str(len(body)))
         await self._start(status, verdict, [*headers, length])
+        self.is_complete = True
         await self._send({'type': 'http.response.body', 'body': body})
 
     async def send_block(self, block: bytes) -> None:
@@ -79,10 +81,16 @@
     async def end_stream(self, block: bytes) -> None:
         """Send the last events and end the stream."""
         await self.send_block(block)
+        self.is_complete = True
         await self._send({'type': 'http.response.body', 'body': b''})
 
     async def send_error(self, error: CassiarailError) -> None:
-        """Send an error, as an event if a stream has started."""
+        """Send an error, as an event if a stream has started.
+
+        Nothing may follow a response that is complete.
+        """
+        if self.is_complete:
+            return
         document = {'error': error.describe()}
         self.code = error.code
         self.verdict = error.verdict
--- /dev/null
+++ b/cassiarail/http1/events.py
@@ -0,0 +1,16 @@
+"""Define the log events of HTTP listeners."""
+
+from absl import logging
+
+from cassiarail.core.events import define_event
+
+HANDLER_FAILED = define_event(
+    number=2107,
+    level=logging.ERROR,
+    summary='handler of a request failed; its connection is closed',
+)
+RESPONSE_MISSING = define_event(
+    number=2108,
+    level=logging.ERROR,
+    summary='handler of a request ended without a complete response',
+)
--- a/cassiarail/http1/exchanges.py
+++ b/cassiarail/http1/exchanges.py
@@ -1,10 +1,19 @@
 """Define the interface through which a handler responds to a request."""
 
 import abc
+import enum
 
 from cassiarail.http1.messages import Headers, RequestHead
 
 
+class ResponseProgress(enum.Enum):
+    """Name how much of a response was sent."""
+
+    NOT_BEGUN = 'not begun'
+    BEGUN = 'begun'
+    COMPLETE = 'complete'
+
+
 class Exchange(abc.ABC):
     """Hold a complete request and send its response.
 
@@ -12,11 +21,18 @@
     sent after the client has disconnected is discarded.
     """
 
+    progress = ResponseProgress.NOT_BEGUN
+
     head: RequestHead
     body: bytes
     received_at: float
     peer: str
 
+    @property
+    @abc.abstractmethod
+    def is_connected(self) -> bool:
+        """Return whether the client still waits for the response."""
+
     @abc.abstractmethod
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response; ``headers`` have no framing headers."""
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -7,12 +7,14 @@
 
 import h11
 
+from cassiarail.core.events import emit_event
 from cassiarail.http1.assembly import (
     ClientLimits,
     RequestAssembler,
     UnreadRequestError,
 )
-from cassiarail.http1.exchanges import Exchange
+from cassiarail.http1.events import HANDLER_FAILED, RESPONSE_MISSING
+from cassiarail.http1.exchanges import Exchange, ResponseProgress
 from cassiarail.http1.pool import Address
 from cassiarail.http1.sockets import enable_dead_peer_detection
 from cassiarail.http1.writing import ResponseWriter
@@ -145,8 +147,7 @@
         self._is_reading = False
         self.is_responding = True
         writer = self._writer
-        writer.head = self._assembler.head
-        writer.body = self._assembler.body
+        writer.begin_exchange(self._assembler.head, self._assembler.body)
         writer.idle_s = self._limits.idle_s
         writer.is_closing = self._listener.is_draining
         self._task = self._loop.create_task(
@@ -256,8 +257,31 @@
             connection.close_if_idle()
 
     async def handle_exchange(self, exchange: Exchange) -> None:
-        """Handle one request."""
-        await self._on_exchange(exchange)
+        """Handle one request; close the connection if that fails."""
+        try:
+            await self._on_exchange(exchange)
+        except Exception as error:
+            emit_event(
+                HANDLER_FAILED,
+                peer=exchange.peer,
+                target=exchange.head.target.decode('latin-1'),
+                error=repr(error),
+            )
+        finally:
+            self._close_unfinished(exchange)
+
+    def _close_unfinished(self, exchange: Exchange) -> None:
+        """Close a connection whose client would wait for a response."""
+        if exchange.progress is ResponseProgress.COMPLETE:
+            return
+        if exchange.is_connected:
+            emit_event(
+                RESPONSE_MISSING,
+                peer=exchange.peer,
+                target=exchange.head.target.decode('latin-1'),
+                progress=exchange.progress.value,
+            )
+        exchange.abort()
 
     def count_unread(self, status: int, reason: str) -> None:
         """Report a request that could not be read."""
--- a/cassiarail/http1/writing.py
+++ b/cassiarail/http1/writing.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from cassiarail.http1.exchanges import Exchange
+from cassiarail.http1.exchanges import Exchange, ResponseProgress
 from cassiarail.http1.messages import Headers, RequestHead, find_header
 from cassiarail.http1.sockets import reset_connection
 
@@ -33,18 +33,30 @@
         self.peer = ''
         self.idle_s = float(0)
         self.is_closing = False
+        self.progress = ResponseProgress.NOT_BEGUN
         self.writable = asyncio.Event()
         self.writable.set()
         self._parser = parser
         self._on_response_end = on_response_end
         self._transport: asyncio.Transport | None = None
 
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the client still waits for the response."""
+        return self._transport is not None
+
     def attach(self, transport: asyncio.Transport) -> None:
         """Start writing to a transport."""
         self._transport = transport
         peer = transport.get_extra_info('peername')
         self.peer = f'{peer[0]}:{peer[1]}' if peer else ''
 
+    def begin_exchange(self, head: RequestHead, body: bytes) -> None:
+        """Hold the next request of the connection."""
+        self.head = head
+        self.body = body
+        self.progress = ResponseProgress.NOT_BEGUN
+
     def detach(self) -> None:
         """Discard all further bytes because the client has disconnected."""
         self._transport = None
@@ -78,8 +90,10 @@
     def finish_stream(self) -> None:
         """Send the end of a complete body."""
         if self._transport is None:
+            self.progress = ResponseProgress.COMPLETE
             return
         self._send(h11.EndOfMessage())
+        self.progress = ResponseProgress.COMPLETE
         self._on_response_end(
             self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE,
@@ -88,8 +102,9 @@
     def abort(self) -> None:
         """Close the connection before the response is complete."""
         transport = self._transport
-        if transport is None:
+        if transport is None or self.progress is ResponseProgress.COMPLETE:
             return
+        self.progress = ResponseProgress.COMPLETE
         if self._parser.their_http_version == _OLD_VERSION:
             # The end of the connection would look like the end of the body.
             reset_connection(transport)
@@ -122,6 +137,7 @@
                 headers=headers,
             ),
         )
+        self.progress = ResponseProgress.BEGUN
 
     def _send(self, event: h11.Event) -> None:
         if self._transport is None:
