Limit the sum of the responses that a process keeps

One engine with 32 places that sends bodies without end to 48 requests took a host from 44 to 288 MB, four of them to 551 MB. The platform ends a process above its memory, and with it the requests of all its other callers.

Cause: each response had a bound (8 MiB), their sum had none, and the body of a failure was kept like a success.

ByteBudget is taken as the bytes arrive; beyond it the target with the most bytes loses its largest response. Failures and reports of engines keep 256 KiB at most. The gateway's targets share such a budget too.

--- a/cassiarail/conf/edge.py
+++ b/cassiarail/conf/edge.py
@@ -5,6 +5,7 @@
 """
 
 import pathlib
+from typing import NotRequired
 
 import msgspec
 from typing_extensions import TypedDict
@@ -58,6 +59,8 @@
 
     ``link_mbps`` is the bandwidth of the host's network link in Mbit/s; at
     most a quarter of it is used for traffic to other hosts.
+    ``response_memory_bytes`` limits the responses that are kept until they are
+    complete; the default is ``RESPONSE_MEMORY_BYTES``.
     """
 
     name: str
@@ -70,6 +73,7 @@
     registry: RegistrySettings
     bounds: BoundSettings
     link_mbps: float
+    response_memory_bytes: NotRequired[int]
 
 
 _ADDRESS_KEYS = ('callers', 'peers', 'object_api')
@@ -104,6 +108,11 @@
     if settings['link_mbps'] <= 0:
         message = 'must be positive'
         problems.append(CheckMessage('S011', '$.link_mbps', message))
+    if settings.get('response_memory_bytes', 0) < 0:
+        message = 'must not be negative'
+        problems.append(
+            CheckMessage('S011', '$.response_memory_bytes', message)
+        )
     if settings['registry']['heartbeat_s'] <= 0:
         message = 'must be positive'
         problems.append(CheckMessage('S011', '$.registry.heartbeat_s', message))
--- a/cassiarail/edge/engines/orders.py
+++ b/cassiarail/edge/engines/orders.py
@@ -27,6 +27,9 @@
 _SHARE_AFTER_TAKEOVER = 0.4
 _ACCEPTED = frozenset((200, 202))
 _OK = 200
+# A report with hundreds of runs, models and adapters has a tenth of this. All
+# engines may respond at the same time.
+_MAX_RESPONSE_BYTES = 262_144
 
 
 class LoadBudget:
@@ -103,6 +106,7 @@
                 self._dialect.encode_order(order, target.instance),
                 ORDER_TIMEOUT_S,
                 lambda: may_order() and self._availability.may_send(target),
+                _MAX_RESPONSE_BYTES,
             )
         except TargetError as error:
             self._handle_failure(record, order, error.message)
@@ -142,6 +146,7 @@
                 target.address,
                 (self._dialect.encode_report_request(), b''),
                 _REPORT_TIMEOUT_S,
+                max_bytes=_MAX_RESPONSE_BYTES,
             )
             self._record_response(target, response)
             if response.status != _OK:
--- a/cassiarail/edge/metrics.py
+++ b/cassiarail/edge/metrics.py
@@ -46,6 +46,16 @@
             'Sets of parts of prompts whose requests are refused.',
             registry=registry,
         )
+        self.response_bytes = Gauge(
+            'cassiarail_response_bytes',
+            'Bytes of responses that are kept until they are complete.',
+            registry=registry,
+        )
+        self.revoked_responses = Gauge(
+            'cassiarail_revoked_responses',
+            'Responses that were ended because they used too much memory.',
+            registry=registry,
+        )
         self.dropped_lines = Gauge(
             'cassiarail_dropped_log_lines',
             'Log lines dropped because standard output was not read.',
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -17,7 +17,10 @@
 from cassiarail.edge.registry.configuration import CurrentConfiguration
 from cassiarail.edge.registry.parts import RegistryParts
 from cassiarail.edge.registry.targets import TargetDirectory
-from cassiarail.edge.requests.attempts import AttemptRunner
+from cassiarail.edge.requests.attempts import (
+    AttemptRunner,
+    build_response_memory,
+)
 from cassiarail.edge.requests.caller_listener import CallerListener, DrainRules
 from cassiarail.edge.requests.forwarding import Forwarder, ForwardingParts
 from cassiarail.edge.requests.load_times import LoadTimeEstimator
@@ -121,6 +124,7 @@
     def _build_forwarding(self) -> None:
         clock = self._clock
         self._pool = ConnectionPool(PoolRules(TARGET_CONNECT_TIMEOUT_S))
+        self._response_memory = build_response_memory(self._settings)
         self._outliers = OutlierDetector(
             clock,
             self._list_service_instances,
@@ -157,6 +161,7 @@
                         self._pool.connect,
                         clock,
                     ),
+                    self._response_memory,
                 ),
                 outliers=self._outliers,
                 waits=self._control.waits,
@@ -243,6 +248,8 @@
         self._metrics.quarantines.set(
             len(self._control.crashes.quarantines.all)
         )
+        self._metrics.response_bytes.set(self._response_memory.used_bytes)
+        self._metrics.revoked_responses.set(self._response_memory.revoked)
         self._metrics.dropped_lines.set(self._log_writer.dropped)
 
     def _reconnect_after_suspension(self) -> None:
--- a/cassiarail/edge/requests/attempts.py
+++ b/cassiarail/edge/requests/attempts.py
@@ -5,6 +5,8 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+from cassiarail.conf.edge import EdgeSettings
+from cassiarail.conf.global_defaults import RESPONSE_MEMORY_BYTES
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import ConnectFailedError, ConnectionLostError
 from cassiarail.edge.crashes.observer import CrashObserver
@@ -35,11 +37,14 @@
     strip_hop_headers,
 )
 from cassiarail.http1.pool import ConnectionPool
+from cassiarail.limits.byte_budget import ByteBudget
 from cassiarail.routing.earliest import EarliestStartSelector
 from cassiarail.routing.reachability import ReachabilityTracker
 
 _ReadResult = TypeVar('_ReadResult')
 _MAX_RESPONSE_BYTES = 8_388_608
+# The body of a failure explains it; nothing that callers store is longer.
+_MAX_FAILURE_BYTES = 262_144
 _SUCCESS_STATUSES = range(http.HTTPStatus.OK, http.HTTPStatus.MULTIPLE_CHOICES)
 # Callers read these statuses as a guarantee that the request has not run and
 # never will.
@@ -67,9 +72,14 @@
         reachability: ReachabilityTracker,
         availability: TargetAvailability,
         observer: CrashObserver,
+        memory: ByteBudget,
         rules: AttemptRules | None = None,
     ) -> None:
-        """Check the availability again right before a request is sent."""
+        """Check the availability again right before a request is sent.
+
+        ``memory`` limits the responses that are kept until they are complete.
+        """
+        self._memory = memory
         self._observer = observer
         self._availability = availability
         self._pool = pool
@@ -246,7 +256,9 @@
         connection: ClientConnection,
         head: ResponseHead,
     ) -> AttemptResult:
-        response = await self._read_response(job, connection, head)
+        response = await self._read_response(
+            job, connection, head, _MAX_FAILURE_BYTES
+        )
         reason = f'status {head.status}'
         if head.status in _NOT_RUN_STATUSES:
             # Callers read these statuses as a guarantee that nothing ran, but
@@ -270,8 +282,19 @@
         job: Job,
         connection: ClientConnection,
         head: ResponseHead,
+        max_bytes: int = _MAX_RESPONSE_BYTES,
     ) -> BufferedResponse:
-        body = await connection.read_body(_MAX_RESPONSE_BYTES)
+        reservation = self._memory.open(
+            job.tried_targets[-1].identity,
+            lambda: connection.abort('no memory is left for the response'),
+        )
+        job.reservations.append(reservation)
+        try:
+            body = await connection.read_body(max_bytes, reservation)
+        except ConnectionLostError:
+            reservation.release()
+            raise
+        reservation.keep()
         self._pool.release(connection)
         job.in_flight = False
         return BufferedResponse(head.status, _select_headers(job, head), body)
@@ -373,6 +396,13 @@
         self._pool.release(connection)
 
 
+def build_response_memory(settings: EdgeSettings) -> ByteBudget:
+    """Return the budget of the responses that a process keeps."""
+    return ByteBudget(
+        settings.get('response_memory_bytes', RESPONSE_MEMORY_BYTES)
+    )
+
+
 def _may_run_again(job: Job) -> bool:
     return job.route.may_repeat and job.possible_runs + 1 < job.route.attempts
 
--- a/cassiarail/edge/requests/forwarding.py
+++ b/cassiarail/edge/requests/forwarding.py
@@ -146,6 +146,7 @@
             )
             ending = end_request(job, _INTERNAL_ERROR)
         finally:
+            job.release_memory()
             self._record_end(job, ending)
 
     async def _serve_with_timeout(self, job: Job) -> str:
--- a/cassiarail/edge/requests/jobs.py
+++ b/cassiarail/edge/requests/jobs.py
@@ -13,6 +13,7 @@
 from cassiarail.edge.requests.event_stream import EventSplitter
 from cassiarail.http1.exchanges import Exchange, ResponseProgress
 from cassiarail.http1.messages import Headers
+from cassiarail.limits.byte_budget import ByteReservation
 
 _DIGEST_BYTES = 12
 # Prompts of the known deployments have up to five parts, whose identifiers have
@@ -97,6 +98,7 @@
         self.attempts: list[AttemptResult] = []
         self.in_flight = False
         self.may_switch: Callable[[], bool] = _cannot_switch
+        self.reservations: list[ByteReservation] = []
         self.sent_at = float(0)
         self.answer_began_at: float | None = None
         self._shared_parts = _find_shared_parts(request.prefix_parts)
@@ -135,6 +137,11 @@
             _PAUSE_FACTOR * route.pause_s,
         )
 
+    def release_memory(self) -> None:
+        """Give back the memory of the responses that targets sent."""
+        for reservation in self.reservations:
+            reservation.release()
+
     def fingerprint(self) -> str:
         """Return a digest that is equal for equal requests."""
         head = self.exchange.head
--- a/cassiarail/http1/calls.py
+++ b/cassiarail/http1/calls.py
@@ -16,7 +16,7 @@
 )
 from cassiarail.http1.pool import Address, ConnectionPool
 
-_MAX_BODY_BYTES = 8_388_608
+MAX_BODY_BYTES = 8_388_608
 
 
 class ServerResponse(NamedTuple):
@@ -33,6 +33,7 @@
     request: tuple[RequestHead, bytes],
     timeout_s: float,
     may_send: Callable[[], bool] | None = None,
+    max_bytes: int = MAX_BODY_BYTES,
 ) -> ServerResponse:
     """Send a request and return the complete response.
 
@@ -50,7 +51,7 @@
         async with asyncio.timeout(timeout_s):
             connection.send(*request)
             head = await connection.read_head(_accept_any)
-            body = await connection.read_body(_MAX_BODY_BYTES)
+            body = await connection.read_body(max_bytes)
     except TimeoutError as error:
         pool.discard(connection, 'response timed out')
         raise ConnectionLostError(f'{address}: response timed out') from error
--- a/cassiarail/http1/connections.py
+++ b/cassiarail/http1/connections.py
@@ -14,6 +14,7 @@
 from cassiarail.core.exceptions import ConnectionLostError
 from cassiarail.http1.messages import Headers, RequestHead, ResponseHead
 from cassiarail.http1.sockets import enable_dead_peer_detection
+from cassiarail.limits.byte_budget import ByteReservation
 
 # Maximum size of a response head: the largest head that the known
 # deployments allow a client.
@@ -125,8 +126,15 @@
             if isinstance(event, h11.EndOfMessage):
                 return None
 
-    async def read_body(self, limit: int) -> bytes:
-        """Return a complete body of at most ``limit`` bytes."""
+    async def read_body(
+        self,
+        limit: int,
+        reservation: ByteReservation | None = None,
+    ) -> bytes:
+        """Return a complete body of at most ``limit`` bytes.
+
+        The body also ends if ``reservation`` has no room for it.
+        """
         chunks: list[bytes] = []
         size = 0
         while True:
@@ -136,6 +144,8 @@
             size += len(chunk)
             if size > limit:
                 raise self._fail('response is too large')
+            if reservation is not None and not reservation.take(len(chunk)):
+                raise self._fail('no memory is left for the response')
             chunks.append(chunk)
 
     def finish(self) -> bool:
--- a/cassiarail/targets/connections.py
+++ b/cassiarail/targets/connections.py
@@ -6,12 +6,14 @@
 
 import httpx
 
+from cassiarail.conf.global_defaults import RESPONSE_MEMORY_BYTES
 from cassiarail.core.exceptions import (
     ConnectFailedError,
     ConnectionLostError,
     IdleTimeoutError,
     TargetError,
 )
+from cassiarail.limits.byte_budget import ByteBudget, ByteReservation
 from cassiarail.targets.exceptions import ResponseTooLargeError
 
 TransportFactory = Callable[[str], httpx.AsyncBaseTransport]
@@ -56,8 +58,11 @@
 class TargetResponse:
     """Provide the status, the headers and the body of a response."""
 
-    def __init__(self, response: httpx.Response) -> None:
+    def __init__(
+        self, response: httpx.Response, reservation: ByteReservation
+    ) -> None:
         self._response = response
+        self._reservation = reservation
         self.status = response.status_code
         self.headers = response.headers
 
@@ -80,6 +85,10 @@
             size += len(chunk)
             if size > limit:
                 raise ResponseTooLargeError(f'response is above {limit} bytes')
+            if not self._reservation.take(len(chunk)):
+                raise ResponseTooLargeError(
+                    'no memory is left for the response'
+                )
             chunks.append(chunk)
         return b''.join(chunks)
 
@@ -91,8 +100,12 @@
     exchanges use a new transport, and its last user closes it.
     """
 
-    def __init__(self, factory: TransportFactory) -> None:
+    def __init__(
+        self, factory: TransportFactory, memory: ByteBudget | None = None
+    ) -> None:
+        """Limit the responses in progress by ``memory``."""
         self._factory = factory
+        self._memory = memory or ByteBudget(RESPONSE_MEMORY_BYTES)
         self._current: dict[str, PooledTransport] = {}
         self.retired_count = 0
 
@@ -112,7 +125,9 @@
         pooled = self._acquire(address, fresh=fresh)
         pooled.users += 1
         try:
-            async with _open_response(pooled.transport, request) as response:
+            async with self._open_response(
+                address, pooled.transport, request
+            ) as response:
                 yield response
         except IdleTimeoutError:
             self._retire(address, pooled)
@@ -143,6 +158,22 @@
             await pooled.transport.aclose()
         self._current.clear()
 
+    @contextlib.asynccontextmanager
+    async def _open_response(
+        self,
+        address: str,
+        transport: httpx.AsyncBaseTransport,
+        request: httpx.Request,
+    ) -> AsyncIterator[TargetResponse]:
+        response = await _map_errors(transport.handle_async_request(request))
+        reservation = self._memory.open(address, lambda: None)
+        try:
+            yield TargetResponse(response, reservation)
+        finally:
+            reservation.release()
+            with contextlib.suppress(httpx.HTTPError):
+                await response.aclose()
+
     def _acquire(self, address: str, *, fresh: bool) -> PooledTransport:
         if fresh:
             pooled = PooledTransport(self._factory(address))
@@ -179,19 +210,6 @@
     return f'{base}{path}'
 
 
-@contextlib.asynccontextmanager
-async def _open_response(
-    transport: httpx.AsyncBaseTransport,
-    request: httpx.Request,
-) -> AsyncIterator[TargetResponse]:
-    response = await _map_errors(transport.handle_async_request(request))
-    try:
-        yield TargetResponse(response)
-    finally:
-        with contextlib.suppress(httpx.HTTPError):
-            await response.aclose()
-
-
 async def _map_errors(pending: Awaitable[_Returned]) -> _Returned:
     try:
         return await pending
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -5,6 +5,7 @@
 
 from prometheus_client import CollectorRegistry
 
+from cassiarail.conf.global_defaults import RESPONSE_MEMORY_BYTES
 from cassiarail.core.clock import BootClock
 from cassiarail.edge.crashes.observer import CrashObserver
 from cassiarail.edge.crashes.quarantines import Quarantines
@@ -30,6 +31,7 @@
 from cassiarail.http1.assembly import ClientLimits
 from cassiarail.http1.listener import Http1Listener
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
+from cassiarail.limits.byte_budget import ByteBudget
 from cassiarail.limits.crash_attribution import CrashAttribution
 from cassiarail.limits.service_budgets import ServiceBudgets
 from cassiarail.limits.shared_budget import BudgetRules
@@ -109,6 +111,7 @@
         )
         self.expected_s = 0.01
         self.pool = ConnectionPool(PoolRules(connect_timeout_s=2))
+        self.memory = ByteBudget(RESPONSE_MEMORY_BYTES)
         self.forwarder = Forwarder(
             ForwardingParts(
                 dialect,
@@ -133,6 +136,7 @@
                         self.pool.connect,
                         self.clock,
                     ),
+                    self.memory,
                 ),
                 self.outliers,
                 self.waits,
