Count orders that a leader doesn't know of as recent

Cause: EngineRecord began with an age of an hour. Records are also cleared at the beginning of a term, with the leader's own orders of the term before.

LeaderElection.idle_s answers now from what the election knows of all terms, and unknown orders count as recent. An order is recorded right before it is sent.

--- a/cassiarail/edge/engines/leader.py
+++ b/cassiarail/edge/engines/leader.py
@@ -114,7 +114,7 @@
                     model: sorted(adapters)
                     for model, adapters in record.holdings.models.items()
                 },
-                record.idle_s(),
+                self._parts.election.idle_s(record.target.instance),
             )
             for record in self._records
             if not record.needs_report or record.holdings.order_count
@@ -186,7 +186,7 @@
                 step,
                 self._parts.election.holder,
                 self._parts.election.fence,
-                lambda: self._parts.election.may_order(step.engine),
+                lambda: self._begin_order(step.engine),
             )
             if is_accepted and step.adapter and step.is_load:
                 await self._clock.sleep(ADAPTER_READY_S)
@@ -194,6 +194,13 @@
             record.has_call_in_flight = False
         self._publish(record)
 
+    def _begin_order(self, instance: str) -> bool:
+        """Return whether an order may be sent now, and record it then."""
+        may_order = self._parts.election.may_order(instance)
+        if may_order:
+            self._parts.election.record_order(instance)
+        return may_order
+
     async def _read_report(self, record: EngineRecord) -> None:
         try:
             await self._parts.sender.read_report(record)
--- a/cassiarail/edge/engines/orders.py
+++ b/cassiarail/edge/engines/orders.py
@@ -98,7 +98,6 @@
             leader,
             fence,
         )
-        record.ordered_at = self._clock.monotonic()
         try:
             response = await call_server(
                 self._pool,
--- a/cassiarail/edge/engines/records.py
+++ b/cassiarail/edge/engines/records.py
@@ -18,8 +18,6 @@
 _MIN_DRAIN_S = 0.4
 # Time from an order or a report request to its response.
 _RESPONSE_S = 0.1
-# Age of the last order of an engine that has had none from this leader.
-_NO_ORDER_AGE_S = 3600.0
 
 
 class EngineRecord:
@@ -34,7 +32,6 @@
         self.intended_until = float(0)
         self.ready_at = float(0)
         self.has_call_in_flight = False
-        self.ordered_at = clock.monotonic() - _NO_ORDER_AGE_S
         self.needs_report = True
         self.blocked_since = clock.monotonic()
         self.report_after = float(0)
@@ -184,10 +181,6 @@
             sizes=self._sizes,
         )
 
-    def idle_s(self) -> float:
-        """Return the seconds since the last order was sent."""
-        return self._clock.monotonic() - self.ordered_at
-
     def check_overdue(self, now: float, overdue_s: float) -> None:
         """Require a report if no entry shows the end of an order in time."""
         if self.pending_change and now > self.ready_at + overdue_s:
--- a/cassiarail/edge/fleet/election.py
+++ b/cassiarail/edge/fleet/election.py
@@ -95,6 +95,9 @@
         self._has_failed = False
         self._orders_from = float('inf')
         self._resignation: Resignation | None = None
+        self._ordered_at: dict[str, float] = {}
+        # Until then, an earlier process on this machine may have sent orders.
+        self._unknown_until = float('-inf')
 
     @property
     def holder(self) -> str:
@@ -111,12 +114,31 @@
             return False
         if self._lease.seconds_left() <= self._rules.stop_early_s:
             return False
-        orders_from = self._orders_from
-        if self._resignation is not None:
-            orders_from = self._resignation.orders_from.get(
-                instance, orders_from
-            )
-        return self._clock.monotonic() >= orders_from
+        return self._clock.monotonic() >= self._find_orders_from(instance)
+
+    def record_order(self, instance: str) -> None:
+        """Record that this host sends an order to an engine."""
+        now = self._clock.monotonic()
+        oldest = now - self._rules.order_gap_s
+        self._ordered_at = {
+            name: at for name, at in self._ordered_at.items() if at >= oldest
+        }
+        self._ordered_at[instance] = now
+
+    def idle_s(self, instance: str) -> float:
+        """Return for how long no leader has sent an engine an order.
+
+        The result is exact for orders of this process. For others it is the
+        shortest possible time, since the next leader waits for the remainder.
+        """
+        # No order of another leader is more recent than the gap before the
+        # first one that this leader may send.
+        last_order_at = max(
+            self._find_orders_from(instance) - self._rules.order_gap_s,
+            self._ordered_at.get(instance, float('-inf')),
+            self._unknown_until,
+        )
+        return self._clock.monotonic() - last_order_at
 
     def record_leader(self) -> None:
         """Record that another host holds the lease and is alive."""
@@ -219,6 +241,7 @@
         if self._lease.inherited_holdoff_s is not None:
             # The previous leader was a process on this machine.
             holdoff_s = self._lease.inherited_holdoff_s
+            self._unknown_until = now
         if self._resignation and self._resignation.fence != self.fence - 1:
             self._resignation = None
         self._orders_from = now + holdoff_s
@@ -231,6 +254,12 @@
         )
         self._on_change(True)
 
+    def _find_orders_from(self, instance: str) -> float:
+        """Return from when an engine may be sent orders in this term."""
+        if self._resignation is None:
+            return self._orders_from
+        return self._resignation.orders_from.get(instance, self._orders_from)
+
     def _remaining_holdoff_s(self) -> float:
         if not self._is_leader:
             return self._rules.order_gap_s
@@ -238,9 +267,9 @@
 
     def _end_term(self, reason: str) -> None:
         self._is_leader = False
-        self._resignation = None
         emit_event(LEADERSHIP_ENDED, fence=self.fence, reason=reason)
         self._on_change(False)
+        self._resignation = None
 
 
 def _always() -> bool:
--- a/tests/edge/fleet/test_election.py
+++ b/tests/edge/fleet/test_election.py
@@ -69,6 +69,23 @@
             f'h{index}', self.clock, self.store, self.restarts
         )
 
+    @rule(engine=st.sampled_from('xy'), tenths=st.integers(1, 30))
+    def kill_leader_after_an_order(self, engine, tenths):
+        """Let the next process on its machine retake the lease and resign."""
+        for index, member in enumerate(self.members):
+            if not member.election.is_held():
+                continue
+            self.compete(index)
+            self.send_order(index, engine, 0)
+            self.restart(index)
+            self.compete(index)
+            self.clock.advance(tenths / 10)
+            self.lose_the_store(index)
+            for other in range(HOSTS):
+                self.compete(other)
+                self.send_order(other, engine, 0)
+            return
+
     @rule(index=host_indexes)
     def compete(self, index):
         member = self.members[index]
@@ -102,6 +119,7 @@
         if last and last[0] != index:
             assert now - last[2] >= ORDER_GAP_S - ROUNDING_S
             assert fence > last[3]
+        member.election.record_order(engine)
         self.orders[engine] = (index, now, now + transit_s, fence)
 
     @rule(index=host_indexes)
@@ -126,12 +144,8 @@
         if not member.election.is_held():
             return
         fence = member.election.fence
-        now = self.clock.monotonic()
-        idle_s = {
-            engine: now - at
-            for engine, (sender, at, _arrived, _fence) in self.orders.items()
-            if sender == index
-        }
+        # A restarted process doesn't know of the orders before its start.
+        idle_s = {engine: member.election.idle_s(engine) for engine in 'xy'}
         end()
         for other in self.members:
             if other is not member:
@@ -208,6 +222,50 @@
     assert not restarted.election.may_order('x')
 
 
+def test_a_restarted_leader_hands_over_as_if_it_had_just_sent_orders():
+    # Another host gave an engine an order 2.5 s after the killed process had.
+    clock = ManualClock()
+    store = MemoryObjectStore()
+    first, other = (Member(name, clock, store) for name in 'ab')
+    drive(first.election._acquire_or_renew())
+    clock.advance(0.9)
+    drive(first.election._acquire_or_renew())
+    first.election.record_order('x')
+    clock.advance(0.4)
+    restarted = Member('a', clock, store, process=1)
+    drive(restarted.election._acquire_or_renew())
+    clock.advance(1)
+    idle_s = restarted.election.idle_s('x')
+    assert idle_s <= 1.4
+    fence = restarted.election.fence
+    restarted.lease.abandon()
+    other.election.record_resignation(fence, {'x': idle_s})
+    drive(other.election._acquire_or_renew())
+    assert other.election.is_held()
+    assert not other.election.may_order('x')
+
+
+def test_a_leader_knows_the_orders_of_its_earlier_terms():
+    # Records of engines are cleared at the beginning of a term.
+    clock = ManualClock()
+    member = Member('a', clock, MemoryObjectStore())
+    drive(member.election._acquire_or_renew())
+    member.election.record_order('x')
+    clock.advance(0.1)
+    member.lease.abandon()
+    member.election._end_term('store is unreachable')
+    drive(member.election._acquire_or_renew())
+    clock.advance(1)
+    assert member.election.idle_s('x') <= 1.1 + ROUNDING_S
+
+
+def test_a_leader_without_predecessor_hands_over_at_once():
+    clock = ManualClock()
+    member = Member('a', clock, MemoryObjectStore())
+    drive(member.election._acquire_or_renew())
+    assert member.election.idle_s('x') >= ORDER_GAP_S
+
+
 def test_a_leader_that_was_suspended_sends_no_orders():
     clock = ManualClock()
     member = Member('a', clock, MemoryObjectStore())
