Keep signals from ending programs that start

Cause: the handler was set after the imports and the start of all components.

SettingsWatch sets its handler as it starts and reads the file again after a second: a change between the first reading and its stamp was never noticed. Stop signals are received from before the first component starts.

--- /dev/null
+++ b/cassiarail/commands/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the modules that the launcher imports."""
--- a/cassiarail/commands/programs/controller.py
+++ b/cassiarail/commands/programs/controller.py
@@ -110,8 +110,3 @@
     document, secret = load_or_exit(settings, ControllerSettings, read_secret)
     configure_logs(document.get('telemetry', {}).get('log_level', 'info'))
     run_real(run_controller, document, secret)
-
-
-def main() -> None:
-    """Run the program."""
-    program()
--- a/cassiarail/commands/programs/edge.py
+++ b/cassiarail/commands/programs/edge.py
@@ -63,12 +63,3 @@
         typer.echo(str(error), err=True)
         raise typer.Exit(_EXIT_REJECTED) from error
     run_real(run_edge, document, settings)
-
-
-def main() -> None:
-    """Run the program."""
-    program()
-
-
-if __name__ == '__main__':
-    main()
--- a/cassiarail/commands/programs/gateway.py
+++ b/cassiarail/commands/programs/gateway.py
@@ -68,8 +68,3 @@
     document, secret = load_or_exit(settings, GatewaySettings, read_secret)
     configure_logs(document.get('telemetry', {}).get('log_level', 'info'))
     run_real(run_gateway, document, secret)
-
-
-def main() -> None:
-    """Run the program."""
-    program()
--- a/cassiarail/core/lifecycle.py
+++ b/cassiarail/core/lifecycle.py
@@ -3,7 +3,7 @@
 import abc
 import random
 import signal
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
 
 import anyio
 
@@ -16,6 +16,8 @@
 )
 from cassiarail.core.supervisor import ChildSpec, Supervisor
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 class Component(abc.ABC):
     """A part of a process with its own life cycle.
@@ -74,19 +76,25 @@
 
     async def run(self, *, handle_signals: bool = False) -> None:
         """Run until a stop is requested, then drain and stop all components."""
+        # A signal that arrives while components start is handled afterwards.
+        signals = _STOP_SIGNALS if handle_signals else ()
+        with anyio.open_signal_receiver(*signals) as received:
+            await self._run(received)
+
+    async def _run(self, signals: AsyncIterator[signal.Signals]) -> None:
         started_components: list[Component] = []
         try:
             for component in self.components:
                 await component.start()
                 started_components.append(component)
-            await self._serve(handle_signals=handle_signals)
+            await self._serve(signals)
         finally:
             with anyio.CancelScope(shield=True):
                 for component in reversed(started_components):
                     await component.stop()
             emit_event(APPLICATION_STOPPED, application=self.name)
 
-    async def _serve(self, *, handle_signals: bool) -> None:
+    async def _serve(self, signals: AsyncIterator[signal.Signals]) -> None:
         supervisor = Supervisor(
             self.name,
             [
@@ -97,8 +105,7 @@
             self._generator,
         )
         async with anyio.create_task_group() as group:
-            if handle_signals:
-                group.start_soon(self._watch_signals)
+            group.start_soon(self._watch_signals, signals)
             group.start_soon(supervisor.run)
             self.started.set()
             emit_event(APPLICATION_STARTED, application=self.name)
@@ -108,8 +115,8 @@
                 await component.drain()
             group.cancel_scope.cancel()
 
-    async def _watch_signals(self) -> None:
-        signals = (signal.SIGTERM, signal.SIGINT)
-        with anyio.open_signal_receiver(*signals) as received:
-            await anext(received)
-            self.request_stop()
+    async def _watch_signals(
+        self, signals: AsyncIterator[signal.Signals]
+    ) -> None:
+        await anext(signals)
+        self.request_stop()
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -204,7 +204,7 @@
                 ],
                 self._reconnect_after_suspension,
             ),
-            SettingsWatch(path, self._clock, self._apply),
+            SettingsWatch(path, self._clock, self._apply, self._settings),
             MetricsListener(
                 Address.parse(metrics['address']),
                 metrics['path'],
--- a/cassiarail/edge/upkeep.py
+++ b/cassiarail/edge/upkeep.py
@@ -24,6 +24,7 @@
 _LATE_S = 0.2
 # A tick that is later than this means that the process was suspended.
 _SUSPENSION_S = 1.0
+_NO_STAMP = (0, 0)
 
 
 class Upkeep(Component):
@@ -67,17 +68,23 @@
         path: pathlib.Path,
         clock: Clock,
         apply: Callable[[EdgeSettings], None],
+        applied: EdgeSettings,
     ) -> None:
+        """Compare with ``applied``, which was read earlier in the start."""
+        self._applied = applied
         self._path = path
         self._clock = clock
         self._apply = apply
-        self._last_stamp = self._read_stamp()
+        self._last_stamp = _NO_STAMP
         self._sighup = asyncio.Event()
 
-    async def run(self) -> None:
-        """Watch until cancelled."""
+    async def start(self) -> None:
+        """Receive SIGHUP, which is ignored until then."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._sighup.set)
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
         while True:
             try:
                 async with asyncio.timeout(_SETTINGS_INTERVAL_S):
@@ -99,6 +106,9 @@
         except RejectedSettingsError as error:
             emit_event(SETTINGS_REJECTED, error=str(error))
             return
+        if settings == self._applied and not is_signalled:
+            return
+        self._applied = settings
         self._apply(settings)
         emit_event(
             SETTINGS_RELOADED,
@@ -111,5 +121,5 @@
             stat = self._path.stat()
         except OSError:
             # While it is being replaced, the file may be missing for a moment.
-            return (0, 0)
+            return _NO_STAMP
         return (stat.st_mtime_ns, stat.st_size)
