Let all hosts know each other within two seconds

Cause: the leader listed three addresses twice a second, in turn, so that all hosts were known after 32 s. A host that isn't in the books of others is told nothing. Besides, a rumour was passed on once.

The leader lists all hosts in pages, at full rate while any host reports another digest of the list. Quarantines and their ends are passed on in four rounds.

--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -160,7 +160,7 @@
                 ),
                 self.update_receiver,
                 lambda: self.store_contact_s(),
-                lambda: len(list(self._hosts.hosts)),
+                self._hosts.list_current,
                 self.traffic,
                 self._dependencies.configuration.get_version,
             ),
--- a/cassiarail/edge/crashes/exchange.py
+++ b/cassiarail/edge/crashes/exchange.py
@@ -1,20 +1,24 @@
 """Exchange what hosts know of crashes, without a leader.
 
 News are sent to other hosts at once. In a small fleet everybody is told
-directly; in a large one, each host passes news on to some others. Datagrams
-may be lost, so each host also sends what it knows to one other host a second.
+directly; in a large one, each host passes news on to some others. Quarantines
+and their ends are urgent: the host that decides one tells many others, and
+each host passes it on several times, since datagrams may be lost and hosts may
+be down. Each host also sends what it knows to one other host a second.
 """
 
 import asyncio
-import collections
 import random
-from collections.abc import Collection, Iterable, Iterator, Mapping
+import types
+from collections.abc import Collection, Iterator, Mapping
+from typing import Any
+
+import msgspec
 
 from cassiarail.core.clock import Clock
-from cassiarail.core.events import emit_event
 from cassiarail.core.lifecycle import Component
 from cassiarail.edge.crashes.quarantines import QuarantineListener, Quarantines
-from cassiarail.edge.events import PEER_UNREADABLE
+from cassiarail.edge.fleet.members import PeerBook
 from cassiarail.edge.fleet.messages import (
     AnswerRow,
     CrashReport,
@@ -38,37 +42,17 @@
 # Up to this many hosts are told directly.
 _MAX_DIRECT_PEERS = 12
 _FANOUT = 5
-_MAX_PEERS = 256
+# The host that decides urgent news tells this many others.
+_DECIDED_FANOUT = 40
+# Urgent news are passed on again after these times. If 60% of the hosts are
+# down, two of five receivers are not: four rounds reach 99.97% of them.
+_URGENT_REPEATS_S = (0.1, 0.2, 0.33)
 # Parts of one datagram; more would not fit in one packet.
 _MAX_PARTS = 32
 _MAX_ANSWERS = 24
-
-
-class PeerBook:
-    """Hold the addresses of other hosts, the newest ones."""
-
-    def __init__(self, own: Address, generator: random.Random) -> None:
-        self._own = own
-        self._generator = generator
-        self._addresses: collections.OrderedDict[Address, None] = (
-            collections.OrderedDict()
-        )
-
-    def __len__(self) -> int:
-        return len(self._addresses)
-
-    def record(self, address: Address) -> None:
-        """Record that a host has this address."""
-        if address != self._own:
-            self._addresses[address] = None
-            self._addresses.move_to_end(address)
-            if len(self._addresses) > _MAX_PEERS:
-                self._addresses.popitem(last=False)
-
-    def choose(self, count: int) -> list[Address]:
-        """Return some random hosts."""
-        known = list(self._addresses)
-        return self._generator.sample(known, min(count, len(known)))
+# Sources of a quarantine or its end that was decided on this host.
+_OWN_SOURCES = frozenset(('evidence', 'operator', 'probe'))
+_NOTHING: Mapping[frozenset[str], Any] = types.MappingProxyType({})
 
 
 class CrashExchange(Component, QuarantineListener):
@@ -92,7 +76,8 @@
         self._generator = generator
         self._crashes: list[Crash] = []
         self._answers: dict[frozenset[str], float] = {}
-        self._new_quarantines: list[Quarantine] = []
+        self._new_quarantines: dict[frozenset[str], Quarantine] = {}
+        self._decided_here: set[frozenset[str]] = set()
         self._lifts: dict[frozenset[str], float] = {}
         self._is_scheduled = False
         quarantines.listeners.append(self)
@@ -119,24 +104,20 @@
         self._answers[frozenset(parts)] = answered_at
         self._send_soon()
 
-    def on_quarantine(self, quarantine: Quarantine) -> None:
+    def on_quarantine(self, quarantine: Quarantine, source: str) -> None:
         """Tell other hosts of a quarantine."""
-        self._new_quarantines.append(quarantine)
+        self._new_quarantines[quarantine.parts] = quarantine
+        self._record_source(quarantine.parts, source)
         self._send_soon()
 
-    def on_lift(self, parts: frozenset[str], lifted_at: float) -> None:
+    def on_lift(
+        self, parts: frozenset[str], lifted_at: float, source: str
+    ) -> None:
         """Tell other hosts that an operator has lifted a quarantine."""
         self._lifts[parts] = lifted_at
+        self._record_source(parts, source)
         self._send_soon()
 
-    def record_peers(self, addresses: Iterable[str]) -> None:
-        """Record the addresses of hosts that the leader has listed."""
-        for address in addresses:
-            try:
-                self.peers.record(Address.parse(address))
-            except ValueError as error:
-                emit_event(PEER_UNREADABLE, peer=address, error=str(error))
-
     def receive(self, report: CrashReport, sender: Address) -> None:
         """Merge what another host knows."""
         self.peers.record(sender)
@@ -164,6 +145,8 @@
                 frozenset(lift.parts), now - lift.lifted_s, report.host
             )
         for quarantine in report.quarantines:
+            # Its sender has told many others.
+            self._decided_here.discard(frozenset(quarantine.parts))
             self._quarantines.adopt(
                 read_quarantine(quarantine, now), report.host
             )
@@ -189,20 +172,44 @@
 
     def _send_news(self) -> None:
         self._is_scheduled = False
-        reports = list(
-            self._make_reports(
-                self._crashes,
-                self._answers,
-                self._new_quarantines,
-                self._lifts,
-            )
+        urgent = list(
+            self._make_reports([], {}, self._new_quarantines, self._lifts)
         )
+        other = list(self._make_reports(self._crashes, self._answers))
+        is_decided_here = bool(self._decided_here)
         self._crashes = []
         self._answers = {}
-        self._new_quarantines = []
+        self._new_quarantines = {}
         self._lifts = {}
+        self._decided_here.clear()
         is_small = len(self.peers) <= _MAX_DIRECT_PEERS
-        count = _MAX_DIRECT_PEERS if is_small else _FANOUT
+        if urgent:
+            many = _DECIDED_FANOUT if is_decided_here else _FANOUT
+            count = _MAX_DIRECT_PEERS if is_small else many
+            self._send_to_some(urgent, count)
+            if not is_small:
+                self._repeat(urgent)
+        if other:
+            count = _MAX_DIRECT_PEERS if is_small else _FANOUT
+            self._send_to_some(other, count)
+
+    def _record_source(self, parts: frozenset[str], source: str) -> None:
+        """Record whether this host has to tell many others."""
+        if source in _OWN_SOURCES:
+            self._decided_here.add(parts)
+
+    def _repeat(self, reports: list[CrashReport]) -> None:
+        """Pass urgent news on again; ages grow by the delay meanwhile."""
+        loop = asyncio.get_running_loop()
+        for delay_s in _URGENT_REPEATS_S:
+            loop.call_later(
+                delay_s,
+                self._send_to_some,
+                [_add_age(report, delay_s) for report in reports],
+                _FANOUT,
+            )
+
+    def _send_to_some(self, reports: list[CrashReport], count: int) -> None:
         for address in self.peers.choose(count):
             for report in reports:
                 self._link.send(report, address, TrafficKind.CRASH_REPORT)
@@ -225,7 +232,7 @@
         for report in self._make_reports(
             crashes,
             answers,
-            self._attribution.quarantines,
+            {each.parts: each for each in self._attribution.quarantines},
             self._attribution.lifted,
         ):
             self._link.send(report, address, TrafficKind.CRASH_REPORT)
@@ -233,9 +240,9 @@
     def _make_reports(
         self,
         crashes: list[Crash],
-        answers: dict[frozenset[str], float],
-        quarantines: list[Quarantine],
-        lifts: Mapping[frozenset[str], float],
+        answers: Mapping[frozenset[str], float],
+        quarantines: Mapping[frozenset[str], Quarantine] = _NOTHING,
+        lifts: Mapping[frozenset[str], float] = _NOTHING,
     ) -> Iterator[CrashReport]:
         """Yield the datagrams of some news, answers first."""
         now = self._clock.monotonic()
@@ -244,7 +251,7 @@
             for parts, answered_at in answers.items()
         ]
         quarantine_rows = [
-            describe_quarantine(each, now) for each in quarantines
+            describe_quarantine(each, now) for each in quarantines.values()
         ]
         lift_rows = [
             LiftRow(sorted(parts), now - lifted_at)
@@ -292,6 +299,27 @@
     )
 
 
+def _add_age(report: CrashReport, seconds: float) -> CrashReport:
+    """Return urgent news as they are sent after a delay."""
+    return CrashReport(
+        report.host,
+        lifts=[
+            LiftRow(row.parts, row.lifted_s + seconds) for row in report.lifts
+        ],
+        quarantines=[
+            msgspec.structs.replace(
+                row,
+                since_s=row.since_s + seconds,
+                last_crash_s=row.last_crash_s + seconds,
+                probe_in_s=max(0, row.probe_in_s - seconds)
+                if row.probe_in_s >= 0
+                else row.probe_in_s,
+            )
+            for row in report.quarantines
+        ],
+    )
+
+
 def _split_crash(crash: Crash, now: float) -> Iterator[CrashRow]:
     parts = list(crash.parts.items())
     for start in range(0, len(parts), _MAX_PARTS):
--- a/cassiarail/edge/crashes/persistence.py
+++ b/cassiarail/edge/crashes/persistence.py
@@ -75,7 +75,7 @@
                 await self._keep()
             await self._clock.sleep(_TICK_S)
 
-    def on_quarantine(self, quarantine: Quarantine) -> None:
+    def on_quarantine(self, quarantine: Quarantine, source: str) -> None:
         """Write a new quarantine."""
         self._released.discard(quarantine.parts)
         self._has_changed = True
--- a/cassiarail/edge/crashes/quarantines.py
+++ b/cassiarail/edge/crashes/quarantines.py
@@ -42,13 +42,15 @@
     def on_answer(self, parts: Collection[str], answered_at: float) -> None:
         """Handle an answer that clears parts."""
 
-    def on_quarantine(self, quarantine: Quarantine) -> None:
-        """Handle a new quarantine."""
+    def on_quarantine(self, quarantine: Quarantine, source: str) -> None:
+        """Handle a new quarantine; ``source`` is where it was decided."""
 
     def on_release(self, parts: frozenset[str]) -> None:
         """Handle the end of a quarantine."""
 
-    def on_lift(self, parts: frozenset[str], lifted_at: float) -> None:
+    def on_lift(
+        self, parts: frozenset[str], lifted_at: float, source: str
+    ) -> None:
         """Handle that an operator has lifted a quarantine."""
 
 
@@ -70,7 +72,7 @@
         """Count a probe that this host sends, and tell other hosts."""
         counted = self.attribution.record_probe(quarantine)
         for listener in self.listeners:
-            listener.on_quarantine(counted)
+            listener.on_quarantine(counted, 'probe')
 
     def record_crash(self, crash: Crash, source: str) -> None:
         """Merge a crash that this host or another one has seen."""
@@ -136,7 +138,7 @@
         if not self.attribution.lift(parts, lifted_at):
             return
         for listener in self.listeners:
-            listener.on_lift(parts, lifted_at)
+            listener.on_lift(parts, lifted_at, source)
         self._report_released(before, source)
 
     async def decide(self, parts: Collection[str]) -> Decision:
@@ -193,7 +195,7 @@
             banned=quarantine.is_banned,
         )
         for listener in self.listeners:
-            listener.on_quarantine(quarantine)
+            listener.on_quarantine(quarantine, source)
 
     def _report_released(
         self, before: Iterable[frozenset[str]], source: str
--- a/cassiarail/edge/events.py
+++ b/cassiarail/edge/events.py
@@ -139,6 +139,11 @@
     level=logging.INFO,
     summary='high traffic to other hosts in the last second',
 )
+MEMBERS_LISTED = define_event(
+    number=5208,
+    level=logging.INFO,
+    summary='this host knows the addresses of all hosts',
+)
 EVENT_LOOP_LATE = define_event(
     number=1206,
     level=logging.WARNING,
--- a/cassiarail/edge/fleet/broadcast.py
+++ b/cassiarail/edge/fleet/broadcast.py
@@ -27,9 +27,6 @@
 # Hosts report every second. One that sent nothing for longer may be cut off,
 # and a whole data centre would miss the updates that it doesn't relay.
 _ALIVE_S = 2.5
-# Addresses of hosts in each regular update, so that hosts learn them all
-# within seconds at little cost.
-_LISTED_HOSTS = 3
 
 
 class Host(NamedTuple):
@@ -59,7 +56,6 @@
         self.number = 0
         self._clock = clock
         self._last_contact_at: dict[Address, float] = {}
-        self._next_listed = 0
         self._link = link
         self._list_hosts = list_hosts
         self._generator = generator
@@ -87,15 +83,6 @@
         for addresses in centres.values():
             self._send_to_data_centre(datagram, addresses)
 
-    def next_addresses(self) -> list[Address]:
-        """Return the addresses of the next few hosts, in turn."""
-        addresses = [host.address for host in self._list_hosts()]
-        if not addresses:
-            return []
-        start = self._next_listed % len(addresses)
-        self._next_listed = start + _LISTED_HOSTS
-        return addresses[start : start + _LISTED_HOSTS]
-
     def record_contact(self, address: Address) -> None:
         """Record that a host has sent something."""
         self._last_contact_at[address] = self._clock.monotonic()
--- a/cassiarail/edge/fleet/hosts.py
+++ b/cassiarail/edge/fleet/hosts.py
@@ -1,7 +1,7 @@
 """Register this host, and list all hosts while it is leader."""
 
 import random
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 import anyio
 
@@ -33,6 +33,7 @@
     """Hold all registered hosts."""
 
     def __init__(self) -> None:
+        self.is_current = False
         self._hosts: dict[str, Host] = {}
 
     def __iter__(self) -> Iterator[Host]:
@@ -43,6 +44,7 @@
         self._hosts.clear()
         for entry in listing.entries:
             self._apply(entry)
+        self.is_current = True
 
     def apply_changes(self, batch: WatchBatch) -> None:
         """Apply new and removed hosts."""
@@ -90,6 +92,10 @@
         self._clock = clock
         self._generator = generator
 
+    def list_current(self) -> Iterable[Host]:
+        """Return all hosts, or none unless they are being watched."""
+        return self.hosts if self.hosts.is_current else ()
+
     async def run(self) -> None:
         """Register, then watch the other hosts while they are needed."""
         await self._register()
@@ -147,3 +153,4 @@
             while self._is_needed():
                 await self._clock.sleep(_CHECK_INTERVAL_S)
             group.cancel_scope.cancel()
+        self.hosts.is_current = False
--- a/cassiarail/edge/fleet/messages.py
+++ b/cassiarail/edge/fleet/messages.py
@@ -94,6 +94,7 @@
     with ``is_behind`` set requests the updates after it. ``sent_at`` is the
     time of sending by the host's monotonic clock; it is set if the host
     requests a reply. ``leaving`` lists the targets that accept no requests.
+    ``members`` identifies the list of hosts that the host has, or is 0.
     """
 
     host: str
@@ -104,6 +105,7 @@
     is_behind: bool = False
     sent_at: float = 0
     leaving: list[tuple[str, int]] = []
+    members: int = 0
 
 
 class EngineRow(msgspec.Struct, array_like=True):
@@ -150,6 +152,18 @@
     revision: int
 
 
+class MemberPage(msgspec.Struct, array_like=True):
+    """List some of all hosts: four bytes of an address, two of a port each.
+
+    ``digest`` identifies the complete list, of ``count`` pages.
+    """
+
+    digest: int
+    index: int
+    count: int
+    addresses: bytes
+
+
 class StateUpdate(msgspec.Struct, tag='ledger', omit_defaults=True):
     """Send all hosts the state that the leader knows.
 
@@ -164,7 +178,7 @@
     of the report that the update replies to, if any.
     ``hosts`` counts the registered hosts; ``is_last`` ends the term.
     ``leaving`` lists the identities of targets that accept no new requests.
-    ``peers`` lists the addresses of a few hosts, in turn.
+    ``members`` lists some of the hosts, in turn.
     """
 
     host: str
@@ -184,7 +198,7 @@
     targets: list[TargetRow] = []
     gone: list[RemovedRow] = []
     is_last: bool = False
-    peers: list[str] = []
+    members: MemberPage | None = None
 
     @property
     def has_rows(self) -> bool:
--- a/cassiarail/edge/fleet/presence.py
+++ b/cassiarail/edge/fleet/presence.py
@@ -10,12 +10,13 @@
 from cassiarail.edge.crashes.exchange import CrashExchange
 from cassiarail.edge.engines.leader import PlacementLeader
 from cassiarail.edge.events import TARGET_LEAVING
-from cassiarail.edge.fleet.broadcast import Broadcaster
+from cassiarail.edge.fleet.broadcast import Broadcaster, Host
 from cassiarail.edge.fleet.changes import ChangeLog
 from cassiarail.edge.fleet.demand import DemandMeter
 from cassiarail.edge.fleet.election import LeaderElection
 from cassiarail.edge.fleet.entry_digest import EntryDigest
 from cassiarail.edge.fleet.fleet_demand import FleetDemand, build_demand_rows
+from cassiarail.edge.fleet.members import MemberAnnouncer, MemberList
 from cassiarail.edge.fleet.messages import (
     CrashReport,
     DemandReport,
@@ -78,7 +79,7 @@
     broadcaster: Broadcaster
     receiver: StateUpdateReceiver
     store_contact_s: Callable[[], float]
-    count_hosts: Callable[[], int]
+    list_hosts: Callable[[], Iterable[Host]]
     traffic: PeerTraffic
     get_configuration_version: Callable[[], int]
 
@@ -120,6 +121,10 @@
         self._full_resend_at = float('-inf')
         self._sent_configuration = 0
         self._digest = EntryDigest(parts.directory)
+        self._members = MemberList(parts.crash_exchange.peers)
+        self._announcer = MemberAnnouncer(
+            parts.list_hosts, self._members, clock
+        )
 
     async def start(self) -> None:
         """Bind the address for peers."""
@@ -230,6 +235,7 @@
         broadcaster = self._parts.broadcaster
         broadcaster.record_contact(sender)
         self._parts.crash_exchange.peers.record(sender)
+        self._announcer.record_digest(report.members)
         if report.sent_at and self._is_leader():
             self._reply(report, sender)
         is_busy = self._parts.traffic.delay_s() > _MAX_LINK_DELAY_S
@@ -268,7 +274,9 @@
             else:
                 self.election.record_leader()
         self._leader_address = Address.parse(update.address)
-        self._parts.crash_exchange.record_peers([update.address, *update.peers])
+        self._parts.crash_exchange.peers.record(self._leader_address)
+        if update.members is not None:
+            self._members.receive(update.members)
         self._leader_seen_at = self._clock.monotonic()
         self._set_expected(update.expected)
         self._apply_rows(update)
@@ -321,6 +329,7 @@
             receiver.begin_resend_request(),
             self._clock.monotonic() if receiver.needs_reply else 0,
             self._parts.directory.list_leaving(),
+            self._members.digest,
         )
 
     def _send_state_updates(self, *, is_regular: bool) -> None:
@@ -341,10 +350,7 @@
             update.gone = changes.removed
             if is_regular:
                 update.losses = _list_failed_requests(self._parts.suspects)
-                update.peers = [
-                    str(each)
-                    for each in self._parts.broadcaster.next_addresses()
-                ]
+                update.members = self._announcer.next_page()
             self._sent_rows.record(update.engines)
             self._parts.broadcaster.send(update)
             self._parts.waits.wake()
@@ -353,7 +359,7 @@
 
     def _make_state_update(self, rows: list[EngineRow]) -> StateUpdate:
         leader = self.leader
-        hosts = self._parts.count_hosts()
+        hosts = len(list(self._parts.list_hosts()))
         self.host_count = max(self.host_count, hosts)
         return StateUpdate(
             self._host,
--- a/tests/edge/crashes/test_exchange.py
+++ b/tests/edge/crashes/test_exchange.py
@@ -70,18 +70,22 @@
     def __init__(self, size, seed=1):
         self.generator = random.Random(seed)
         self.cut_off = set()
+        self.down = set()
+        self.loss = LOSS
         self.hosts = [Host(number, self) for number in range(size)]
         self._by_address = {tuple(host.address): host for host in self.hosts}
         for host in self.hosts:
-            for other in self.hosts:
-                host.exchange.peers.record(other.address)
+            host.exchange.peers.add_listed(
+                other.address for other in self.hosts
+            )
         self.tasks = [
             asyncio.create_task(host.exchange.run()) for host in self.hosts
         ]
 
     def deliver(self, datagram, sender, receiver):
         is_cut = (sender in self.cut_off) != (receiver in self.cut_off)
-        if is_cut or self.generator.random() < LOSS:
+        is_down = receiver in self.down or sender in self.down
+        if is_cut or is_down or self.generator.random() < self.loss:
             return
         asyncio.get_running_loop().call_later(
             self.generator.uniform(*DELAY_S),
--- a/tests/edge/fleet/test_presence.py
+++ b/tests/edge/fleet/test_presence.py
@@ -167,7 +167,7 @@
                 Broadcaster(self.link, lambda: hosts, generator, clock),
                 self.receiver,
                 lambda: 0.1,
-                lambda: len(hosts),
+                lambda: hosts,
                 traffic,
                 lambda: 1,
             ),
