Limit the sum of what callers make a host keep

Cause: each body and each response had a bound, their sum had none.

Listeners share a budget of the bytes of all their clients. Beyond it, the message that has made no progress for the longest time ends: a body with 503 and the time to come back, as nothing was passed on, an unread response with its connection. Connections to targets pause reading at 64 KiB, since 512 of them held 128 MB.

--- a/cassiarail/conf/edge.py
+++ b/cassiarail/conf/edge.py
@@ -13,6 +13,7 @@
 from cassiarail.conf.files import RejectedSettingsError, read_json
 from cassiarail.core.checks import CheckMessage
 from cassiarail.http1.pool import Address
+from cassiarail.limits.shared_budget import BudgetRules
 
 
 class EndpointSettings(TypedDict):
@@ -60,7 +61,8 @@
     ``link_mbps`` is the bandwidth of the host's network link in Mbit/s; at
     most a quarter of it is used for traffic to other hosts.
     ``response_memory_bytes`` limits the responses that are kept until they are
-    complete; the default is ``RESPONSE_MEMORY_BYTES``.
+    complete, ``client_memory_bytes`` the bodies of requests and what callers
+    don't read; the defaults are in ``global_defaults``.
     """
 
     name: str
@@ -74,6 +76,7 @@
     bounds: BoundSettings
     link_mbps: float
     response_memory_bytes: NotRequired[int]
+    client_memory_bytes: NotRequired[int]
 
 
 _ADDRESS_KEYS = ('callers', 'peers', 'object_api')
@@ -94,6 +97,16 @@
     return settings
 
 
+def read_retry_rules(settings: EdgeSettings) -> BudgetRules:
+    """Return the limits of the retry budget."""
+    bounds = settings['bounds']
+    return BudgetRules(
+        bounds['retry_ratio'],
+        bounds['retry_slack'],
+        bounds['retry_window_s'],
+    )
+
+
 def _check_values(settings: EdgeSettings) -> list[CheckMessage]:
     addresses = {name: settings[name] for name in _ADDRESS_KEYS}  # type: ignore[literal-required]
     for name in _ENDPOINT_KEYS:
@@ -108,11 +121,11 @@
     if settings['link_mbps'] <= 0:
         message = 'must be positive'
         problems.append(CheckMessage('S011', '$.link_mbps', message))
-    if settings.get('response_memory_bytes', 0) < 0:
-        message = 'must not be negative'
-        problems.append(
-            CheckMessage('S011', '$.response_memory_bytes', message)
-        )
+    problems.extend(
+        CheckMessage('S011', f'$.{name}', 'must not be negative')
+        for name in ('response_memory_bytes', 'client_memory_bytes')
+        if settings.get(name, 0) < 0  # type: ignore[operator]
+    )
     if settings['registry']['heartbeat_s'] <= 0:
         message = 'must be positive'
         problems.append(CheckMessage('S011', '$.registry.heartbeat_s', message))
--- a/cassiarail/edge/metrics.py
+++ b/cassiarail/edge/metrics.py
@@ -56,6 +56,16 @@
             'Responses that were ended because they used too much memory.',
             registry=registry,
         )
+        self.client_bytes = Gauge(
+            'cassiarail_client_bytes',
+            'Bytes of bodies of requests, and of responses not yet read.',
+            registry=registry,
+        )
+        self.revoked_requests = Gauge(
+            'cassiarail_revoked_requests',
+            'Requests and responses that callers held up for too long.',
+            registry=registry,
+        )
         self.dropped_lines = Gauge(
             'cassiarail_dropped_log_lines',
             'Log lines dropped because standard output was not read.',
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -6,7 +6,7 @@
 
 from prometheus_client import CollectorRegistry
 
-from cassiarail.conf.edge import EdgeSettings
+from cassiarail.conf.edge import EdgeSettings, read_retry_rules
 from cassiarail.conf.global_defaults import TARGET_CONNECT_TIMEOUT_S
 from cassiarail.core.clock import BootClock
 from cassiarail.core.lifecycle import Application, Component
@@ -17,19 +17,16 @@
 from cassiarail.edge.registry.configuration import CurrentConfiguration
 from cassiarail.edge.registry.parts import RegistryParts
 from cassiarail.edge.registry.targets import TargetDirectory
-from cassiarail.edge.requests.attempts import (
-    AttemptRunner,
-    build_response_memory,
-)
+from cassiarail.edge.requests.attempts import AttemptRunner
 from cassiarail.edge.requests.caller_listener import CallerListener, DrainRules
 from cassiarail.edge.requests.forwarding import Forwarder, ForwardingParts
 from cassiarail.edge.requests.load_times import LoadTimeEstimator
+from cassiarail.edge.requests.memory import build_request_memory
 from cassiarail.edge.requests.selection import TargetSelector
 from cassiarail.edge.status import MetricsListener, ReadinessListener
 from cassiarail.edge.upkeep import SettingsWatch, Upkeep
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.limits.service_budgets import ServiceBudgets
-from cassiarail.limits.shared_budget import BudgetRules
 from cassiarail.routing.earliest import EarliestStartSelector
 from cassiarail.routing.outliers import OutlierDetector, OutlierRules
 from cassiarail.routing.reachability import ReachabilityTracker
@@ -124,7 +121,7 @@
     def _build_forwarding(self) -> None:
         clock = self._clock
         self._pool = ConnectionPool(PoolRules(TARGET_CONNECT_TIMEOUT_S))
-        self._response_memory = build_response_memory(self._settings)
+        self._memory = build_request_memory(self._settings)
         self._outliers = OutlierDetector(
             clock,
             self._list_service_instances,
@@ -133,7 +130,7 @@
         )
         self._budgets = ServiceBudgets(
             clock,
-            read_budget(self._settings),
+            read_retry_rules(self._settings),
             self._control.count_hosts,
         )
         selector = TargetSelector(
@@ -161,7 +158,7 @@
                         self._pool.connect,
                         clock,
                     ),
-                    self._response_memory,
+                    self._memory.responses,
                 ),
                 outliers=self._outliers,
                 waits=self._control.waits,
@@ -185,6 +182,7 @@
             self._metrics,
             clock,
             self._read_drain_rules,
+            self._memory.clients,
         )
 
     def _build_components(self, path: pathlib.Path) -> list[Component]:
@@ -248,8 +246,7 @@
         self._metrics.quarantines.set(
             len(self._control.crashes.quarantines.all)
         )
-        self._metrics.response_bytes.set(self._response_memory.used_bytes)
-        self._metrics.revoked_responses.set(self._response_memory.revoked)
+        self._memory.refresh(self._metrics)
         self._metrics.dropped_lines.set(self._log_writer.dropped)
 
     def _reconnect_after_suspension(self) -> None:
@@ -259,14 +256,4 @@
 
     def _apply(self, settings: EdgeSettings) -> None:
         self._settings = settings
-        self._budgets.change_rules(read_budget(settings))
-
-
-def read_budget(settings: EdgeSettings) -> BudgetRules:
-    """Return the limits of the retry budget."""
-    bounds = settings['bounds']
-    return BudgetRules(
-        bounds['retry_ratio'],
-        bounds['retry_slack'],
-        bounds['retry_window_s'],
-    )
+        self._budgets.change_rules(read_retry_rules(settings))
--- a/cassiarail/edge/requests/attempts.py
+++ b/cassiarail/edge/requests/attempts.py
@@ -5,8 +5,6 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-from cassiarail.conf.edge import EdgeSettings
-from cassiarail.conf.global_defaults import RESPONSE_MEMORY_BYTES
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import ConnectFailedError, ConnectionLostError
 from cassiarail.edge.crashes.observer import CrashObserver
@@ -396,13 +394,6 @@
         self._pool.release(connection)
 
 
-def build_response_memory(settings: EdgeSettings) -> ByteBudget:
-    """Return the budget of the responses that a process keeps."""
-    return ByteBudget(
-        settings.get('response_memory_bytes', RESPONSE_MEMORY_BYTES)
-    )
-
-
 def _may_run_again(job: Job) -> bool:
     return job.route.may_repeat and job.possible_runs + 1 < job.route.attempts
 
--- a/cassiarail/edge/requests/caller_listener.py
+++ b/cassiarail/edge/requests/caller_listener.py
@@ -16,6 +16,7 @@
 from cassiarail.edge.requests.forwarding import Forwarder
 from cassiarail.http1.listener import Http1Listener
 from cassiarail.http1.pool import Address
+from cassiarail.limits.byte_budget import ByteBudget
 
 _POLL_INTERVAL_S = 0.1
 # Time to write the last responses, of what the stop time leaves (0.6 s).
@@ -48,6 +49,7 @@
         metrics: EdgeMetrics,
         clock: Clock,
         rules: Callable[[], DrainRules],
+        memory: ByteBudget,
     ) -> None:
         self.is_draining = False
         self._forwarder = forwarder
@@ -59,6 +61,7 @@
             forwarder.forward,
             configuration.limits,
             self._count_unread,
+            memory,
         )
 
     async def start(self) -> None:
--- a/cassiarail/http1/assembly.py
+++ b/cassiarail/http1/assembly.py
@@ -23,10 +23,16 @@
 class UnreadRequestError(Exception):
     """Report a request that was rejected before it was read completely."""
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.retry_after_s = retry_after_s
 
 
 class RequestAssembler:
@@ -72,6 +78,11 @@
                 'body is too large',
             )
 
+    def discard(self) -> None:
+        """Forget what was read of a request."""
+        self.body = b''
+        self._chunks = []
+
     def finish(self) -> None:
         """Join the chunks of the body."""
         self.body = b''.join(self._chunks)
--- a/cassiarail/http1/connections.py
+++ b/cassiarail/http1/connections.py
@@ -20,7 +20,7 @@
 # deployments allow a client.
 _MAX_HEAD_BYTES = 16_384
 # Reading is paused while more bytes than this are unprocessed.
-_MAX_UNREAD_BYTES = 262_144
+_MAX_UNREAD_BYTES = 65_536
 # A faulty server may send responses that belong to no request without end.
 _MAX_SKIPPED_RESPONSES = 16
 # A longer body is not worth reading only to keep the connection.
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -13,11 +13,17 @@
     RequestAssembler,
     UnreadRequestError,
 )
+from cassiarail.http1.client_memory import (
+    ConnectionMemory,
+    build_client_memory,
+    build_memory_error,
+)
 from cassiarail.http1.events import HANDLER_FAILED, RESPONSE_MISSING
 from cassiarail.http1.exchanges import Exchange, ResponseProgress
 from cassiarail.http1.pool import Address
 from cassiarail.http1.sockets import enable_dead_peer_detection
 from cassiarail.http1.writing import ResponseWriter
+from cassiarail.limits.byte_budget import ByteBudget
 
 ExchangeHandler = Callable[[Exchange], Awaitable[None]]
 # Maximum buffered bytes of pipelined requests during a response.
@@ -47,6 +53,7 @@
         self._assembler = RequestAssembler()
         self._pipelined_bytes = 0
         self._is_reading = False
+        self._memory = ConnectionMemory(listener.memory)
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -59,6 +66,7 @@
         self._transport = cast(asyncio.Transport, transport)
         enable_dead_peer_detection(transport)
         self._writer.attach(self._transport)
+        self._memory.client = self._writer.peer.rpartition(':')[0]
         self._listener.add(self)
         self._set_timer(self._limits.idle_s + _IDLE_MARGIN_S, self.close)
 
@@ -87,6 +95,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request of a client that has disconnected."""
+        self._memory.release_body()
+        self._memory.release_unsent()
         self._cancel_response()
         self._cancel_timer()
         self._listener.remove(self)
@@ -94,10 +104,14 @@
     def pause_writing(self) -> None:
         """Block further chunks while the client doesn't read."""
         self._writer.writable.clear()
+        if self._transport is not None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+            self._memory.take_unsent(unsent_bytes, self._transport.abort)
 
     def resume_writing(self) -> None:
         """Allow further chunks."""
         self._writer.writable.set()
+        self._memory.release_unsent()
 
     def close(self) -> None:
         """Close the connection after all written bytes are sent."""
@@ -137,11 +151,16 @@
             self._writer.received_at = self._loop.time()
             self._assembler.begin(event, self._limits)
         elif isinstance(event, h11.Data):
+            self._memory.take_body(len(event.data), self._reject_stale_body)
             self._assembler.add(bytes(event.data), self._limits)
         elif isinstance(event, h11.EndOfMessage):
             self._assembler.finish()
+            self._memory.keep_body()
             self._start_response()
 
+    def _reject_stale_body(self) -> None:
+        self._refuse(build_memory_error())
+
     def _start_response(self) -> None:
         self._cancel_timer()
         self._is_reading = False
@@ -157,6 +176,7 @@
     def _end_response(self, is_reusable: bool) -> None:
         """Start reading the next request, or close the connection."""
         self.is_responding = False
+        self._memory.release_body()
         if not is_reusable or self._transport is None:
             self.close()
             return
@@ -174,9 +194,11 @@
     def _refuse(self, error: UnreadRequestError) -> None:
         """Respond to a request that was not read, then close."""
         self._cancel_timer()
+        self._memory.release_body()
+        self._assembler.discard()
         self.is_responding = True
         self._listener.count_unread(error.status, error.reason)
-        self._writer.refuse(error.status, error.reason)
+        self._writer.refuse(error.status, error.reason, error.retry_after_s)
         self.close()
 
     def _cancel_response(self) -> None:
@@ -211,9 +233,15 @@
         on_exchange: ExchangeHandler,
         limits: Callable[[], ClientLimits] = ClientLimits,
         count_unread: Callable[[int, str], None] | None = None,
+        memory: ByteBudget | None = None,
     ) -> None:
-        """Call ``limits`` for each request, ``count_unread`` on rejections."""
+        """Call ``limits`` for each request, ``count_unread`` on rejections.
+
+        ``memory`` limits the bodies of all requests, and the responses that
+        clients don't read.
+        """
         self.limits = limits
+        self.memory = memory or build_client_memory()
         self.is_draining = False
         self._address = address
         self._on_exchange = on_exchange
--- a/cassiarail/http1/writing.py
+++ b/cassiarail/http1/writing.py
@@ -110,18 +110,23 @@
             reset_connection(transport)
         self._on_response_end(False)
 
-    def refuse(self, status: int, reason: str) -> None:
+    def refuse(
+        self,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
         """Respond to a request that was not read completely."""
         if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         body = reason.encode()
-        self._send_head(
-            status,
-            [
-                (b'content-length', b'%d' % len(body)),
-                (b'connection', b'close'),
-            ],
-        )
+        headers = [
+            (b'content-length', b'%d' % len(body)),
+            (b'connection', b'close'),
+        ]
+        if retry_after_s is not None:
+            headers.append((b'retry-after', b'%.2f' % retry_after_s))
+        self._send_head(status, headers)
         self._send(h11.Data(data=body))
 
     def send_continue(self) -> None:
--- a/cassiarail/limits/byte_budget.py
+++ b/cassiarail/limits/byte_budget.py
@@ -1,11 +1,12 @@
 """Limit the bytes that a process keeps of what others send.
 
 Each message has a bound of its own; this one holds for their sum. If it is
-exceeded, the holder with the most bytes loses its largest message, so that a
-faulty peer costs its own messages and sound ones go on.
+exceeded, one message is revoked, so that a faulty peer costs its own messages
+and sound ones go on.
 """
 
-from collections.abc import Callable, Hashable
+import abc
+from collections.abc import Callable, Hashable, Iterable, Mapping
 
 # The first bytes of each message are not counted: short messages are complete
 # with them, also while the budget is used up.
@@ -38,6 +39,7 @@
         if self._is_released:
             return False
         self._received_bytes += size
+        self._budget.record_progress(self)
         counted = max(0, self._received_bytes - FREE_BYTES)
         return self._budget.resize(self, counted)
 
@@ -52,14 +54,73 @@
             self._budget.remove(self)
 
 
+class RevocationPolicy(abc.ABC):
+    """Choose the message that ends if the budget is exceeded."""
+
+    @abc.abstractmethod
+    def choose(
+        self,
+        candidates: Iterable[ByteReservation],
+        held_bytes: Mapping[Hashable, int],
+    ) -> ByteReservation:
+        """Return a candidate; they are ordered by their last progress.
+
+        ``held_bytes`` sums the bytes of each holder.
+        """
+
+
+class LargestFirst(RevocationPolicy):
+    """Revoke the largest message of the holder with the most bytes.
+
+    This suits senders that are faulty because they send too much.
+    """
+
+    def choose(
+        self,
+        candidates: Iterable[ByteReservation],
+        held_bytes: Mapping[Hashable, int],
+    ) -> ByteReservation:
+        """Return the newest of the largest messages."""
+        return max(
+            reversed(list(candidates)),
+            key=lambda each: (
+                held_bytes.get(each.holder, 0),
+                each.counted_bytes,
+            ),
+        )
+
+
+class StalestFirst(RevocationPolicy):
+    """Revoke the message that has made no progress for the longest time.
+
+    This suits senders that hold back the end of a message, and receivers that
+    don't read: sound ones make progress all the time.
+    """
+
+    def choose(
+        self,
+        candidates: Iterable[ByteReservation],
+        held_bytes: Mapping[Hashable, int],
+    ) -> ByteReservation:
+        """Return the message whose last progress was first."""
+        return next(each for each in candidates if each.counted_bytes)
+
+
 class ByteBudget:
     """Share a number of bytes between the messages in progress."""
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(
+        self,
+        limit_bytes: int,
+        policy: RevocationPolicy | None = None,
+    ) -> None:
+        """Revoke messages by ``policy``, the largest ones first by default."""
         self.used_bytes = 0
         self.revoked = 0
         self._limit_bytes = limit_bytes
-        self._reservations: set[ByteReservation] = set()
+        self._policy = policy or LargestFirst()
+        # Ordered by the last progress, the stalest first.
+        self._reservations: dict[ByteReservation, None] = {}
         self._held_bytes: dict[Hashable, int] = {}
 
     def open(
@@ -72,23 +133,33 @@
         ``revoke`` is called at most once, if the message has to end.
         """
         reservation = ByteReservation(self, holder, revoke)
-        self._reservations.add(reservation)
+        self._reservations[reservation] = None
         return reservation
 
     def resize(self, reservation: ByteReservation, size: int) -> bool:
         """Set the bytes of a message; return whether there is room."""
         self._add(reservation, size - reservation.counted_bytes)
         while self.used_bytes > self._limit_bytes:
-            largest = self._find_largest(reservation)
-            if largest is reservation:
+            candidates = (
+                each
+                for each in self._reservations
+                if each is reservation or each.revoke is not None
+            )
+            chosen = self._policy.choose(candidates, self._held_bytes)
+            if chosen is reservation:
                 return False
-            self._revoke(largest)
+            self._revoke(chosen)
         return True
 
+    def record_progress(self, reservation: ByteReservation) -> None:
+        """Record that a message goes on."""
+        self._reservations.pop(reservation, None)
+        self._reservations[reservation] = None
+
     def remove(self, reservation: ByteReservation) -> None:
         """Forget a message."""
         self._add(reservation, -reservation.counted_bytes)
-        self._reservations.discard(reservation)
+        self._reservations.pop(reservation, None)
 
     def _add(self, reservation: ByteReservation, size: int) -> None:
         reservation.counted_bytes += size
@@ -100,25 +171,6 @@
         else:
             self._held_bytes.pop(holder, None)
 
-    def _find_largest(self, asking: ByteReservation) -> ByteReservation:
-        """Return the largest message of the holder that has most.
-
-        The one that asks is returned if no other can be revoked.
-        """
-        candidates = (
-            each
-            for each in self._reservations
-            if each is asking or each.revoke is not None
-        )
-        return max(
-            candidates,
-            key=lambda each: (
-                self._held_bytes.get(each.holder, 0),
-                each.counted_bytes,
-                each is asking,
-            ),
-        )
-
     def _revoke(self, reservation: ByteReservation) -> None:
         revoke = reservation.revoke
         reservation.release()
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -29,6 +29,7 @@
 from cassiarail.edge.requests.suspects import CrashSuspects
 from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.assembly import ClientLimits
+from cassiarail.http1.client_memory import build_client_memory
 from cassiarail.http1.listener import Http1Listener
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.limits.byte_budget import ByteBudget
@@ -112,6 +113,7 @@
         self.expected_s = 0.01
         self.pool = ConnectionPool(PoolRules(connect_timeout_s=2))
         self.memory = ByteBudget(RESPONSE_MEMORY_BYTES)
+        self.client_memory = build_client_memory()
         self.forwarder = Forwarder(
             ForwardingParts(
                 dialect,
@@ -155,6 +157,7 @@
             Address('127.0.0.1', 0),
             self.forwarder.forward,
             self.current_configuration.limits,
+            memory=self.client_memory,
         )
         await self.listener.start()
         bound = self.listener._server.sockets[0].getsockname()
--- a/tests/limits/test_byte_budget.py
+++ b/tests/limits/test_byte_budget.py
@@ -4,7 +4,12 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from cassiarail.limits.byte_budget import FREE_BYTES, ByteBudget
+from cassiarail.limits.byte_budget import (
+    FREE_BYTES,
+    ByteBudget,
+    LargestFirst,
+    StalestFirst,
+)
 
 KILOBYTE = 1024
 LIMIT = 256 * KILOBYTE
@@ -44,15 +49,36 @@
     assert not complete.is_released
 
 
+def test_a_message_that_stands_still_yields_to_those_that_go_on():
+    # Senders that hold back the end of a body would fill the memory for all.
+    budget = ByteBudget(LIMIT, StalestFirst())
+    revoked = []
+    held = [
+        budget.open(number, lambda number=number: revoked.append(number))
+        for number in range(8)
+    ]
+    for reservation in held:
+        assert reservation.take(FREE_BYTES + LIMIT // 8)
+    going_on = budget.open('sound', lambda: revoked.append('sound'))
+    for _chunk in range(8):
+        assert going_on.take(FREE_BYTES)
+    assert revoked == [0, 1, 2, 3]
+
+
 class BudgetMachine(RuleBasedStateMachine):
     """Take, give back, complete and revoke in any order."""
 
     def __init__(self):
         super().__init__()
         self.budget = ByteBudget(LIMIT)
+        self.policies = (LargestFirst(), StalestFirst())
         self.revoked = set()
         self.open_reservations = []
 
+    @rule(index=st.integers(0, 1))
+    def change_policy(self, index):
+        self.budget._policy = self.policies[index]
+
     @rule(holder=st.sampled_from('abc'))
     def open_message(self, holder):
         def revoke():
