--- a/cassiarail/edge/requests/endings.py
+++ b/cassiarail/edge/requests/endings.py
@@ -28,7 +28,7 @@
     ``status_after_run`` the status of one that may have run.
     """
     exchange = job.exchange
-    if exchange.progress is ResponseProgress.COMPLETE:
+    if exchange.progress is ResponseProgress.ENDED:
         return 'answered'
     if exchange.progress is ResponseProgress.BEGUN:
         exchange.abort()
--- a/cassiarail/http1/exchanges.py
+++ b/cassiarail/http1/exchanges.py
@@ -7,11 +7,11 @@
 
 
 class ResponseProgress(enum.Enum):
-    """Name how much of a response was sent."""
+    """Name how far a response got; it ends complete or broken off."""
 
     NOT_BEGUN = 'not begun'
     BEGUN = 'begun'
-    COMPLETE = 'complete'
+    ENDED = 'ended'
 
 
 class Exchange(abc.ABC):
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -300,7 +300,7 @@
 
     def _close_unfinished(self, exchange: Exchange) -> None:
         """Close a connection whose client would wait for a response."""
-        if exchange.progress is ResponseProgress.COMPLETE:
+        if exchange.progress is ResponseProgress.ENDED:
             return
         if exchange.is_connected:
             emit_event(
--- a/cassiarail/http1/writing.py
+++ b/cassiarail/http1/writing.py
@@ -90,10 +90,10 @@
     def finish_stream(self) -> None:
         """Send the end of a complete body."""
         if self._transport is None:
-            self.progress = ResponseProgress.COMPLETE
+            self.progress = ResponseProgress.ENDED
             return
         self._send(h11.EndOfMessage())
-        self.progress = ResponseProgress.COMPLETE
+        self.progress = ResponseProgress.ENDED
         self._on_response_end(
             self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE,
@@ -102,9 +102,9 @@
     def abort(self) -> None:
         """Close the connection before the response is complete."""
         transport = self._transport
-        if transport is None or self.progress is ResponseProgress.COMPLETE:
+        if transport is None or self.progress is ResponseProgress.ENDED:
             return
-        self.progress = ResponseProgress.COMPLETE
+        self.progress = ResponseProgress.ENDED
         if self._parser.their_http_version == _OLD_VERSION:
             # The end of the connection would look like the end of the body.
             reset_connection(transport)
