--- a/cassiarail/edge/requests/caller_listener.py
+++ b/cassiarail/edge/requests/caller_listener.py
@@ -49,7 +49,7 @@
         metrics: EdgeMetrics,
         clock: Clock,
         rules: Callable[[], DrainRules],
-        memory: ByteBudget,
+        memory: ByteBudget | None = None,
     ) -> None:
         self.is_draining = False
         self._forwarder = forwarder
