Close idle connections of callers at a limit

Cause: the listener accepted connections without a limit, and the descriptors are shared with targets, peers, the store and the platform's questions.

Above 3,000 connections, the one that has been idle for the longest time is closed; one with a request in progress never is.

Evidence: test_idle_connections_yield_to_new_ones.

--- a/cassiarail/conf/global_defaults.py
+++ b/cassiarail/conf/global_defaults.py
@@ -19,6 +19,9 @@
 # A sixth of the memory of the smallest hosts, which is 200 MB.
 RESPONSE_MEMORY_BYTES = 33_554_432
 CLIENT_MEMORY_BYTES = 33_554_432
+# Hosts have 4,100 descriptors or more; targets, peers, the store, logs and the
+# listeners of the platform use the others.
+CALLER_CONNECTIONS_MAX = 3000
 PEER_TIMEOUT_S = 1.0
 
 HEARTBEAT_INTERVAL_S = 1.0
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from cassiarail.conf.global_defaults import CALLER_CONNECTIONS_MAX
 from cassiarail.core.events import emit_event
 from cassiarail.http1.assembly import (
     ClientLimits,
@@ -55,6 +56,13 @@
         self._is_reading = False
         self._memory = ConnectionMemory(listener.memory)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is in progress and none has begun."""
+        transport = self._transport
+        is_closing = transport is None or transport.is_closing()
+        return not (self.is_responding or self._is_reading or is_closing)
+
     @property
     def has_unsent_bytes(self) -> bool:
         """Return whether a response waits for the client to read."""
@@ -120,7 +128,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
-        if not (self.is_responding or self._is_reading):
+        if self.is_idle:
             self.close()
 
     def _expect_request(self) -> None:
@@ -176,6 +184,7 @@
     def _end_response(self, is_reusable: bool) -> None:
         """Start reading the next request, or close the connection."""
         self.is_responding = False
+        self._listener.record_use(self)
         self._memory.release_body()
         if not is_reusable or self._transport is None:
             self.close()
@@ -234,19 +243,24 @@
         limits: Callable[[], ClientLimits] = ClientLimits,
         count_unread: Callable[[int, str], None] | None = None,
         memory: ByteBudget | None = None,
+        max_connections: int = CALLER_CONNECTIONS_MAX,
     ) -> None:
         """Call ``limits`` for each request, ``count_unread`` on rejections.
 
         ``memory`` limits the bodies of all requests, and the responses that
-        clients don't read.
+        clients don't read. Above ``max_connections``, the connection that has
+        been idle for the longest time is closed.
         """
+        self.closed_at_limit = 0
+        self._max_connections = max_connections
         self.limits = limits
         self.memory = memory or build_client_memory()
         self.is_draining = False
         self._address = address
         self._on_exchange = on_exchange
         self._count_unread = count_unread
-        self._connections: set[ServerConnection] = set()
+        # Ordered by the end of the last response, the longest idle one first.
+        self._connections: dict[ServerConnection, None] = {}
         self._server: asyncio.Server | None = None
 
     @property
@@ -317,9 +331,21 @@
             self._count_unread(status, reason)
 
     def add(self, connection: ServerConnection) -> None:
-        """Register an open connection."""
-        self._connections.add(connection)
+        """Register an open connection, and close another at the limit."""
+        self._connections[connection] = None
+        if len(self._connections) <= self._max_connections:
+            return
+        idle = next((each for each in self._connections if each.is_idle), None)
+        if idle is not None:
+            self.closed_at_limit += 1
+            idle.close()
+
+    def record_use(self, connection: ServerConnection) -> None:
+        """Record that a response on a connection has ended."""
+        if connection in self._connections:
+            self._connections.pop(connection)
+            self._connections[connection] = None
 
     def remove(self, connection: ServerConnection) -> None:
         """Unregister a closed connection."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -43,6 +43,7 @@
 from cassiarail.routing.reachability import ReachabilityTracker
 
 HOST = 'h.example'
+MAX_CONNECTIONS = 200
 MODEL = Model('m', 10, 2, 1, 4.0, 0.8, 0.5)
 ENGINE = EngineType(8, 1000, 30, 2, 2.0, {'m': MODEL, 'n': MODEL})
 
@@ -158,6 +159,7 @@
             self.forwarder.forward,
             self.current_configuration.limits,
             memory=self.client_memory,
+            max_connections=MAX_CONNECTIONS,
         )
         await self.listener.start()
         bound = self.listener._server.sockets[0].getsockname()
--- a/tests/edge/requests/test_held_bytes.py
+++ b/tests/edge/requests/test_held_bytes.py
@@ -8,7 +8,13 @@
 import contextlib
 import tracemalloc
 
-from tests.edge.harness import HOST, Fleet, make_response, serve
+from tests.edge.harness import (
+    HOST,
+    MAX_CONNECTIONS,
+    Fleet,
+    make_response,
+    serve,
+)
 from tests.http1.wire import ScriptedServer, run_with_timeout
 
 CALLERS = 90
@@ -111,3 +117,56 @@
             assert not host.client_memory._reservations
 
     run_with_timeout(main)
+
+
+def test_idle_connections_yield_to_new_ones():
+    # 4,300 idle connections used all descriptors of a host: it accepted none
+    # of its callers and reached neither its targets nor the store.
+    async def main():
+        async with (
+            ScriptedServer(serve(make_response(b'done'))) as engine,
+            Fleet() as host,
+        ):
+            host.add(engine, 'i-0')
+            idle = [
+                await asyncio.open_connection(*host.address)
+                for _number in range(2 * MAX_CONNECTIONS)
+            ]
+            received = await host.send_request('file')
+            await asyncio.sleep(0.05)
+            assert received.endswith(b'done')
+            assert host.listener.open_connections <= MAX_CONNECTIONS
+            # The first ones have been idle for the longest time.
+            assert await asyncio.wait_for(idle[0][0].read(1), 1) == b''
+            assert not idle[-1][0].at_eof()
+            for _reader, writer in idle:
+                writer.close()
+
+    run_with_timeout(main)
+
+
+def test_a_connection_with_a_request_in_progress_is_not_closed():
+    async def main():
+        release = asyncio.Event()
+
+        async def respond(server, reader, writer):
+            await server.read_request(reader)
+            await release.wait()
+            writer.write(make_response(b'done'))
+            await writer.drain()
+
+        async with ScriptedServer(respond) as engine, Fleet() as host:
+            host.add(engine, 'i-0')
+            pending = asyncio.ensure_future(host.send_request('file'))
+            while not engine.received:
+                await asyncio.sleep(0.001)
+            writers = [
+                (await asyncio.open_connection(*host.address))[1]
+                for _number in range(2 * MAX_CONNECTIONS)
+            ]
+            release.set()
+            assert (await pending).endswith(b'done')
+            for writer in writers:
+                writer.close()
+
+    run_with_timeout(main)
