--- a/cassiarail/placement/adapters.py
+++ b/cassiarail/placement/adapters.py
@@ -72,7 +72,7 @@
         loads = [
             Step(engine.name, is_load=True, model=model, adapter=adapter)
             for engine in sorted(candidates, key=count_adapters)
-            if self._may_hold_more(engine, model)
+            if self._memory.has_adapter_room(engine, model)
         ]
         if loads:
             return loads[0]
@@ -82,11 +82,6 @@
             candidates, model, waiting
         )
 
-    def _may_hold_more(self, engine: EngineState, model: str) -> bool:
-        return self._memory.allows(
-            engine, Step(engine.name, is_load=True, model=model, adapter='?')
-        )
-
     def _evict_adapter(
         self, candidates: list[EngineState], wanted: str
     ) -> Step | None:
--- a/cassiarail/placement/memory.py
+++ b/cassiarail/placement/memory.py
@@ -65,11 +65,15 @@
         facts = self._models.get(step.model)
         if facts is None:
             return False
-        if not step.adapter:
-            return facts.weights_bytes <= self.free_bytes(engine)
+        if step.adapter:
+            return self.has_adapter_room(engine, step.model)
+        return facts.weights_bytes <= self.free_bytes(engine)
+
+    def has_adapter_room(self, engine: EngineState, model: str) -> bool:
+        """Return whether a slot and memory for an adapter are free."""
         if count_adapters(engine) >= engine.adapter_slots:
             return False
-        return self.adapter_bytes(engine, step.model) <= self.free_bytes(engine)
+        return self.adapter_bytes(engine, model) <= self.free_bytes(engine)
 
     def adapter_bytes(self, engine: EngineState, model: str) -> int:
         """Return the bytes of another adapter of a model."""
