--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -14,6 +14,7 @@
 from tests.edge.fleet.test_state_update_machine import UpdateMachine
 from tests.edge.registry.test_availability_machine import AvailabilityMachine
 from tests.limits.test_attribution_machine import AttributionMachine
+from tests.limits.test_byte_budget import BudgetMachine
 from tests.placement.test_memory_machine import MemoryMachine
 
 _MACHINES = (
@@ -22,6 +23,7 @@
     AvailabilityMachine,
     AttributionMachine,
     MemoryMachine,
+    BudgetMachine,
 )
 
 
