Leave the next response alone when a handler ends late

Both requests of a connection share one exchange. A handler that goes on after its response would have closed the connection of the next request; none does today.

Evidence: the new case of test_listener.py fails without the check.

--- a/cassiarail/http1/exchanges.py
+++ b/cassiarail/http1/exchanges.py
@@ -18,10 +18,12 @@
     """Hold a complete request and send its response.
 
     ``received_at`` is the event loop time at which the head was read. Data
-    sent after the client has disconnected is discarded.
+    sent after the client has disconnected is discarded. ``number`` counts the
+    requests of a connection, which may share one exchange.
     """
 
     progress = ResponseProgress.NOT_BEGUN
+    number = 0
 
     head: RequestHead
     body: bytes
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -300,6 +300,7 @@
 
     async def handle_exchange(self, exchange: Exchange) -> None:
         """Handle one request; close the connection if that fails."""
+        number = exchange.number
         try:
             await self._on_exchange(exchange)
         except Exception as error:
@@ -310,7 +311,9 @@
                 error=repr(error),
             )
         finally:
-            self._close_unfinished(exchange)
+            # A handler may go on while the next request is being handled.
+            if exchange.number == number:
+                self._close_unfinished(exchange)
 
     def _close_unfinished(self, exchange: Exchange) -> None:
         """Close a connection whose client would wait for a response."""
--- a/cassiarail/http1/writing.py
+++ b/cassiarail/http1/writing.py
@@ -53,6 +53,7 @@
 
     def begin_exchange(self, head: RequestHead, body: bytes) -> None:
         """Hold the next request of the connection."""
+        self.number += 1
         self.head = head
         self.body = body
         self.progress = ResponseProgress.NOT_BEGUN
--- a/tests/http1/test_listener.py
+++ b/tests/http1/test_listener.py
@@ -301,3 +301,28 @@
             writer.close()
 
     run_with_timeout(main)
+
+
+def test_a_handler_that_goes_on_does_not_end_the_next_response():
+    # Both requests of a connection share one exchange; the end of the first
+    # handler would have closed the connection of the second.
+    async def main():
+        release = asyncio.Event()
+
+        async def respond_then_wait(exchange):
+            if exchange.head.target == b'/b':
+                release.set()
+                await asyncio.sleep(0.05)
+                exchange.respond(200, [], b'second')
+                return
+            exchange.respond(200, [], b'first')
+            await release.wait()
+
+        async with ListenerHarness(handler=respond_then_wait) as harness:
+            received = await send_and_receive(
+                harness.address, get() + get(b'/b', CLOSE)
+            )
+        assert received.count(b'HTTP/1.1 200') == 2
+        assert received.endswith(b'second')
+
+    run_with_timeout(main)
