Read both responses in the test of a handler that ends late

The test that was added with the check read only the first of the two responses, and failed. With it corrected, it passes, and fails without the check.

--- a/tests/http1/test_listener.py
+++ b/tests/http1/test_listener.py
@@ -320,7 +320,7 @@
 
         async with ListenerHarness(handler=respond_then_wait) as harness:
             received = await send_and_receive(
-                harness.address, get() + get(b'/b', CLOSE)
+                harness.address, get() + get(b'/b', CLOSE), until_close=True
             )
         assert received.count(b'HTTP/1.1 200') == 2
         assert received.endswith(b'second')
