Split what ends attempts and what applies rows from two long modules

Change: AbandonedAttempts reads the responses of attempts whose callers left, and apply_rows applies a state update to the directory. Code is moved, no behaviour changes.

--- a/cassiarail/edge/fleet/presence.py
+++ b/cassiarail/edge/fleet/presence.py
@@ -5,11 +5,10 @@
 from typing import NamedTuple
 
 from cassiarail.core.clock import Clock
-from cassiarail.core.events import emit_event
 from cassiarail.core.lifecycle import Component
 from cassiarail.edge.crashes.exchange import CrashExchange
 from cassiarail.edge.engines.leader import PlacementLeader
-from cassiarail.edge.events import TARGET_LEAVING
+from cassiarail.edge.fleet.applied_rows import apply_rows
 from cassiarail.edge.fleet.broadcast import Broadcaster, Host
 from cassiarail.edge.fleet.changes import ChangeLog
 from cassiarail.edge.fleet.demand import DemandMeter
@@ -28,11 +27,9 @@
     StateUpdate,
 )
 from cassiarail.edge.fleet.peers import PeerLink
-from cassiarail.edge.fleet.rows import read_holdings, read_targets
 from cassiarail.edge.fleet.sent_rows import SentRows
 from cassiarail.edge.fleet.state_updates import REORDER_S, StateUpdateReceiver
 from cassiarail.edge.fleet.traffic import PeerTraffic, TrafficKind
-from cassiarail.edge.registry.followers import log_target
 from cassiarail.edge.registry.targets import (
     TargetDirectory,
     mark_all_leaving,
@@ -279,7 +276,10 @@
             self._members.receive(update.members)
         self._leader_seen_at = self._clock.monotonic()
         self._set_expected(update.expected)
-        self._apply_rows(update)
+        if apply_rows(self._parts.directory, update):
+            self.on_directory_change()
+        elif update.engines:
+            self._parts.waits.wake()
         receiver.confirm(update, self._digest.compute())
         if is_new_term:
             self.report_soon()
@@ -293,31 +293,6 @@
         if self._parts.receiver.is_behind:
             self.report_soon()
 
-    def _apply_rows(self, update: StateUpdate) -> None:
-        directory = self._parts.directory
-        is_changed = mark_all_leaving(directory, update.leaving)
-        for target in read_targets(update.targets):
-            log_target(directory, target, 'ledger')
-            directory.put(target)
-        for removed in update.gone:
-            if directory.remove_now(removed.instance, removed.revision):
-                emit_event(
-                    TARGET_LEAVING,
-                    target=removed.instance,
-                    reason='entry removed',
-                    revision=removed.revision,
-                    source='ledger',
-                )
-        for row in update.engines:
-            directory.update_holdings(
-                (row.instance, row.born_ms),
-                read_holdings(row),
-            )
-        if is_changed or update.targets or update.gone:
-            self.on_directory_change()
-        elif update.engines:
-            self._parts.waits.wake()
-
     def _make_demand_report(self) -> DemandReport:
         receiver = self._parts.receiver
         return DemandReport(
--- a/cassiarail/edge/requests/attempts.py
+++ b/cassiarail/edge/requests/attempts.py
@@ -5,13 +5,12 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import ConnectFailedError, ConnectionLostError
 from cassiarail.edge.crashes.observer import CrashObserver
 from cassiarail.edge.dialect import AttemptParameters, Dialect, ResponseFacts
-from cassiarail.edge.events import ABANDONED_RESPONSE_LOST
 from cassiarail.edge.registry.availability import TargetAvailability
 from cassiarail.edge.registry.targets import Target
+from cassiarail.edge.requests.abandoned import AbandonedAttempts
 from cassiarail.edge.requests.attempt_rules import AttemptRules
 from cassiarail.edge.requests.event_stream import StreamProgress
 from cassiarail.edge.requests.jobs import (
@@ -26,7 +25,7 @@
     is_event_stream,
     split_chunk,
 )
-from cassiarail.http1.connections import ClientConnection
+from cassiarail.http1.connections import AcceptHead, ClientConnection
 from cassiarail.http1.messages import (
     Headers,
     ResponseHead,
@@ -85,7 +84,7 @@
         self._earliest_selector = earliest_selector
         self._reachability = reachability
         self._rules = rules or AttemptRules()
-        self._abandoned: set[asyncio.Task[None]] = set()
+        self._abandoned = AbandonedAttempts(pool, self._make_matcher)
 
     async def run(self, job: Job, target: Target) -> AttemptResult:
         """Make one attempt; deliver a successful response to the caller.
@@ -123,7 +122,7 @@
             self._observer.observe_loss(job, target)
             return _record_interruption(job, error.message)
         except asyncio.CancelledError:
-            self._abandon(job, connection)
+            self._abandoned.abandon(job, connection)
             raise
         except BaseException:
             self._pool.discard(connection, 'attempt failed')
@@ -188,14 +187,18 @@
         head = await self._wait_for_target(
             job,
             connection.read_head(
-                lambda candidate: self._matches_request(
-                    candidate, request_id, connection
-                ),
+                self._make_matcher(request_id, connection),
             ),
             self._compute_head_timeout_s(job),
         )
         return head, self._dialect.decode_response(head)
 
+    def _make_matcher(
+        self, request_id: str, connection: ClientConnection
+    ) -> AcceptHead:
+        """Return what accepts the response to a request on a connection."""
+        return lambda head: self._matches_request(head, request_id, connection)
+
     def _matches_request(
         self,
         head: ResponseHead,
@@ -355,44 +358,6 @@
             since_event_s,
         )
 
-    def _abandon(self, job: Job, connection: ClientConnection) -> None:
-        """End an attempt whose caller disconnected or that timed out."""
-        if job.route.may_repeat or job.route.is_stream:
-            self._pool.discard(connection, 'caller disconnected')
-            return
-        # Closing the connection could leave a request that must not run twice
-        # half done at its target.
-        remaining_s = max(0, job.deadline - asyncio.get_running_loop().time())
-        task = asyncio.create_task(
-            self._drain_abandoned(
-                connection, remaining_s, job.request.request_id
-            ),
-        )
-        self._abandoned.add(task)
-        task.add_done_callback(self._abandoned.discard)
-
-    async def _drain_abandoned(
-        self,
-        connection: ClientConnection,
-        remaining_s: float,
-        request_id: str,
-    ) -> None:
-        try:
-            async with asyncio.timeout(remaining_s):
-                await connection.read_head(
-                    lambda head: self._matches_request(
-                        head, request_id, connection
-                    ),
-                )
-                await connection.discard_body()
-        except (TimeoutError, ConnectionLostError) as error:
-            emit_event(
-                ABANDONED_RESPONSE_LOST, request=request_id, error=repr(error)
-            )
-            self._pool.discard(connection, 'caller disconnected')
-            return
-        self._pool.release(connection)
-
 
 def _may_run_again(job: Job) -> bool:
     return job.route.may_repeat and job.possible_runs + 1 < job.route.attempts
