Let hosts ask the same account of engine memory as the planner

Cause: load_times.py summed an engine's memory once more, with a rule of its own for unknown models, and the planner of adapters computed the missing bytes twice. Describing the fleet also changed the records. Change: MemoryAccount takes configured models of either type, and answers both; sizes are recorded before the fleet is described. No behaviour changes. Measured: tests/placement, tests/edge/engines, tests/edge/crashes and test_load_times.py, 105 passed.

--- a/cassiarail/edge/engines/leader.py
+++ b/cassiarail/edge/engines/leader.py
@@ -150,9 +150,14 @@
             if may_order and record.is_report_due(now):
                 self._start(record, self._read_report(record))
         for service, engine in self._list_services():
-            fleet = self._describe_fleet(service, engine)
-            for step in plan_steps(fleet):
-                self._begin_step(step, fleet.models)
+            models = describe_models(engine)
+            for record in self._records:
+                if record.target.service == service:
+                    record.record_sizes(models)
+            for step in plan_steps(
+                self._describe_fleet(service, engine, models)
+            ):
+                self._begin_step(step, models)
 
     def _begin_step(self, step: Step, models: Mapping[str, ModelFacts]) -> None:
         record = next(
@@ -243,13 +248,14 @@
             self._started_at + _FIRST_TRAFFIC_S - self._clock.monotonic(),
         )
 
-    def _describe_fleet(self, service: str, engine: EngineType) -> Fleet:
+    def _describe_fleet(
+        self,
+        service: str,
+        engine: EngineType,
+        models: Mapping[str, ModelFacts],
+    ) -> Fleet:
         demand = self._parts.demand
         adapter_idle_s = demand.adapter_idle_s(service)
-        models = describe_models(engine)
-        for each in self._records:
-            if each.target.service == service:
-                each.record_sizes(models)
         return Fleet(
             engines=tuple(
                 record.describe(
--- a/cassiarail/edge/requests/load_times.py
+++ b/cassiarail/edge/requests/load_times.py
@@ -11,6 +11,8 @@
     Target,
     TargetDirectory,
 )
+from cassiarail.placement.fleet import EngineState
+from cassiarail.placement.memory import MemoryAccount
 
 # From the demand report of a request to the engine's accepted order and back.
 _ORDER_S = 0.15
@@ -62,9 +64,11 @@
         engine = self._find_engine(service)
         if engine is None or variant.model not in engine.models:
             return True
-        needed_bytes = engine.models[variant.model].adapter_bytes
+        memory = MemoryAccount(engine.models)
         return any(
-            needed_bytes <= _free_without_adapters(engine, each)
+            memory.has_adapter_room(
+                _describe_without_adapters(engine, each), variant.model
+            )
             for each in holders
         )
 
@@ -89,13 +93,16 @@
         )
 
 
-def _free_without_adapters(engine: EngineType, target: Target) -> int:
-    """Return the memory that models leave; an unknown one leaves none."""
-    held = target.holdings.models
-    if not engine.adapter_slots or not engine.models.keys() >= held.keys():
-        return -1
-    return engine.weights_bytes - sum(
-        engine.models[name].weights_bytes for name in held
+def _describe_without_adapters(
+    engine: EngineType, target: Target
+) -> EngineState:
+    """Return a target as if its adapters, which may be evicted, were gone."""
+    return EngineState(
+        target.instance,
+        engine.weights_bytes,
+        engine.adapter_slots,
+        target.slots,
+        {name: frozenset() for name in target.holdings.models},
     )
 
 
--- a/cassiarail/placement/adapters.py
+++ b/cassiarail/placement/adapters.py
@@ -104,9 +104,7 @@
         freed_bytes = sum(
             self._memory.adapter_bytes(engine, model) for model, _ in adapters
         )
-        missing_bytes = self._memory.adapter_bytes(
-            engine, wanted
-        ) - self._memory.free_bytes(engine)
+        missing_bytes = self._memory.missing_for_adapter(engine, wanted)
         return adapters if freed_bytes >= missing_bytes else []
 
     def _evict_model(
@@ -119,9 +117,7 @@
         options = []
         for engine in candidates:
             others = [name for name in engine.held if name != wanted]
-            missing_bytes = self._memory.adapter_bytes(
-                engine, wanted
-            ) - self._memory.free_bytes(engine)
+            missing_bytes = self._memory.missing_for_adapter(engine, wanted)
             victims, cost = find_victims(
                 missing_bytes, engine, others, self._impact
             )
--- a/cassiarail/placement/memory.py
+++ b/cassiarail/placement/memory.py
@@ -1,16 +1,28 @@
 """Account for the memory of engines, which every load has to fit into."""
 
 from collections.abc import Mapping
+from typing import Protocol
 
 from cassiarail.placement.fleet import (
     EngineState,
     HeldSize,
-    ModelFacts,
     Step,
     count_adapters,
 )
 
 
+class SizedModel(Protocol):
+    """Provide the sizes of a model as it is configured."""
+
+    @property
+    def weights_bytes(self) -> int:
+        """Return the bytes of the weights."""
+
+    @property
+    def adapter_bytes(self) -> int:
+        """Return the bytes of each adapter."""
+
+
 class MemoryAccount:
     """Compute what engines have in use and which loads still fit.
 
@@ -18,7 +30,7 @@
     count as the largest that is possible.
     """
 
-    def __init__(self, models: Mapping[str, ModelFacts]) -> None:
+    def __init__(self, models: Mapping[str, SizedModel]) -> None:
         self._models = models
 
     def size_of(self, engine: EngineState, name: str) -> HeldSize | None:
@@ -73,7 +85,11 @@
         """Return whether a slot and memory for an adapter are free."""
         if count_adapters(engine) >= engine.adapter_slots:
             return False
-        return self.adapter_bytes(engine, model) <= self.free_bytes(engine)
+        return self.missing_for_adapter(engine, model) <= 0
+
+    def missing_for_adapter(self, engine: EngineState, model: str) -> int:
+        """Return the bytes to free for another adapter; negative if it fits."""
+        return self.adapter_bytes(engine, model) - self.free_bytes(engine)
 
     def adapter_bytes(self, engine: EngineState, model: str) -> int:
         """Return the bytes of another adapter of a model."""
