Pass all kinds of news to the reports of crashes explicitly

Cause: defaults of an immutable empty mapping, which only one call used. Change: that call passes empty mappings. No behaviour changes.

--- a/cassiarail/edge/crashes/exchange.py
+++ b/cassiarail/edge/crashes/exchange.py
@@ -9,9 +9,7 @@
 
 import asyncio
 import random
-import types
 from collections.abc import Collection, Iterator, Mapping
-from typing import Any
 
 import msgspec
 
@@ -52,7 +50,6 @@
 _MAX_ANSWERS = 24
 # Sources of a quarantine or its end that was decided on this host.
 _OWN_SOURCES = frozenset(('evidence', 'operator', 'probe'))
-_NOTHING: Mapping[frozenset[str], Any] = types.MappingProxyType({})
 
 
 class CrashExchange(Component, QuarantineListener):
@@ -175,7 +172,7 @@
         urgent = list(
             self._make_reports([], {}, self._new_quarantines, self._lifts)
         )
-        other = list(self._make_reports(self._crashes, self._answers))
+        other = list(self._make_reports(self._crashes, self._answers, {}, {}))
         is_decided_here = bool(self._decided_here)
         self._crashes = []
         self._answers = {}
@@ -241,8 +238,8 @@
         self,
         crashes: list[Crash],
         answers: Mapping[frozenset[str], float],
-        quarantines: Mapping[frozenset[str], Quarantine] = _NOTHING,
-        lifts: Mapping[frozenset[str], float] = _NOTHING,
+        quarantines: Mapping[frozenset[str], Quarantine],
+        lifts: Mapping[frozenset[str], float],
     ) -> Iterator[CrashReport]:
         """Yield the datagrams of some news, answers first."""
         now = self._clock.monotonic()
