Give refused requests one type and one way to say when to come back

Cause: Refusal and UnreadRequestError held the same three fields, and the Retry-After header was formatted in two places. Change: both are RefusedRequestError, which lists its headers. No behaviour changes.

--- a/cassiarail/edge/requests/endings.py
+++ b/cassiarail/edge/requests/endings.py
@@ -46,11 +46,7 @@
 
 def refuse(exchange: Exchange, refusal: Refusal) -> None:
     """Refuse a request that no target has run."""
-    headers: Headers = []
-    if refusal.retry_after_s is not None:
-        text = f'{refusal.retry_after_s:.2f}'
-        headers.append((b'retry-after', text.encode()))
-    _respond(exchange, refusal.status, refusal.reason, headers)
+    _respond(exchange, refusal.status, refusal.reason, refusal.list_headers())
 
 
 def _find_failure(job: Job) -> BufferedResponse | None:
--- a/cassiarail/edge/requests/refusals.py
+++ b/cassiarail/edge/requests/refusals.py
@@ -2,20 +2,11 @@
 
 import http
 
+from cassiarail.http1.refusals import RefusedRequestError
 
-class Refusal(Exception):
-    """Report that a request is refused and has not run."""
 
-    def __init__(
-        self,
-        status: int,
-        reason: str,
-        retry_after_s: float | None = None,
-    ) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-        self.retry_after_s = retry_after_s
+class Refusal(RefusedRequestError):
+    """Report that a request is refused and no target has run it."""
 
 
 def build_stop_refusal() -> Refusal:
--- a/cassiarail/http1/assembly.py
+++ b/cassiarail/http1/assembly.py
@@ -6,6 +6,7 @@
 import h11
 
 from cassiarail.http1.messages import RequestHead
+from cassiarail.http1.refusals import RefusedRequestError
 
 # Parsers disagree on the body of a request that has both headers.
 _CONFLICTING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
@@ -20,20 +21,9 @@
     idle_s: float = 15.0
 
 
-class UnreadRequestError(Exception):
+class UnreadRequestError(RefusedRequestError):
     """Report a request that was rejected before it was read completely."""
 
-    def __init__(
-        self,
-        status: int,
-        reason: str,
-        retry_after_s: float | None = None,
-    ) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-        self.retry_after_s = retry_after_s
-
 
 class RequestAssembler:
     """Assemble a request from the events of the parser."""
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -207,7 +207,7 @@
         self._assembler.discard()
         self.is_responding = True
         self._listener.count_unread(error.status, error.reason)
-        self._writer.refuse(error.status, error.reason, error.retry_after_s)
+        self._writer.refuse(error)
         self.close()
 
     def _cancel_response(self) -> None:
--- a/cassiarail/http1/writing.py
+++ b/cassiarail/http1/writing.py
@@ -8,6 +8,7 @@
 
 from cassiarail.http1.exchanges import Exchange, ResponseProgress
 from cassiarail.http1.messages import Headers, RequestHead, find_header
+from cassiarail.http1.refusals import RefusedRequestError
 from cassiarail.http1.sockets import reset_connection
 
 _HEAD = b'HEAD'
@@ -111,23 +112,17 @@
             reset_connection(transport)
         self._on_response_end(False)
 
-    def refuse(
-        self,
-        status: int,
-        reason: str,
-        retry_after_s: float | None = None,
-    ) -> None:
+    def refuse(self, refusal: RefusedRequestError) -> None:
         """Respond to a request that was not read completely."""
         if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
-        body = reason.encode()
+        body = refusal.reason.encode()
         headers = [
             (b'content-length', b'%d' % len(body)),
             (b'connection', b'close'),
+            *refusal.list_headers(),
         ]
-        if retry_after_s is not None:
-            headers.append((b'retry-after', b'%.2f' % retry_after_s))
-        self._send_head(status, headers)
+        self._send_head(refusal.status, headers)
         self._send(h11.Data(data=body))
 
     def send_continue(self) -> None:
