Log what the verdict on an attempt was decided on

Change: 2102 names status, response id, not-run statement, the request's number on its connection, unsent bytes and who closed the connection; 2101 the status that the caller got; 2120 responses that were skipped; 2121 resumed streams. Measured: tests/edge, tests/http1 and tests/docs passed; no decision changes.

--- a/cassiarail/edge/crashes/observer.py
+++ b/cassiarail/edge/crashes/observer.py
@@ -59,19 +59,22 @@
     def observe_chunk(self, job: Job) -> None:
         """Record an answer as soon as its target has survived its beginning."""
         now = asyncio.get_running_loop().time()
-        if job.answer_began_at is None:
-            job.answer_began_at = now
-        elif job.answer_began_at + _ANSWER_SETTLED_S <= now:
+        if job.newest.answer_began_at is None:
+            job.newest.answer_began_at = now
+        elif job.newest.answer_began_at + _ANSWER_SETTLED_S <= now:
             self.record_answer(job.shared_parts)
-            job.answer_began_at = float('-inf')
+            job.newest.answer_began_at = float('-inf')
 
     def observe_loss(self, job: Job, target: Target) -> None:
         """Record that a target may have crashed at the answer of a request."""
         now = asyncio.get_running_loop().time()
-        began_at = job.answer_began_at
+        began_at = job.newest.answer_began_at
         if began_at is None or began_at + _ANSWER_SETTLED_S > now:
             self.record_loss(
-                target, job.shared_parts, now - job.sent_at, job.route.rank
+                target,
+                job.shared_parts,
+                now - job.newest.sent_at,
+                job.route.rank,
             )
 
     def record_answer(self, parts: Collection[str]) -> None:
--- a/cassiarail/edge/events.py
+++ b/cassiarail/edge/events.py
@@ -75,6 +75,16 @@
     level=logging.INFO,
     summary='target wants no requests from this host for some seconds',
 )
+RESPONSE_SKIPPED = define_event(
+    number=2120,
+    level=logging.INFO,
+    summary='response belongs to no request in progress and was skipped',
+)
+STREAM_RESUMED = define_event(
+    number=2121,
+    level=logging.INFO,
+    summary='stream is resumed at another target',
+)
 TARGET_ADDED = define_event(
     number=4201, level=logging.INFO, summary='target added'
 )
--- a/cassiarail/edge/requests/attempts.py
+++ b/cassiarail/edge/requests/attempts.py
@@ -5,19 +5,23 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import ConnectFailedError, ConnectionLostError
 from cassiarail.edge.crashes.observer import CrashObserver
 from cassiarail.edge.dialect import AttemptParameters, Dialect, ResponseFacts
+from cassiarail.edge.events import RESPONSE_SKIPPED
 from cassiarail.edge.registry.availability import TargetAvailability
 from cassiarail.edge.registry.targets import Target
 from cassiarail.edge.requests.abandoned import AbandonedAttempts
 from cassiarail.edge.requests.attempt_rules import AttemptRules
 from cassiarail.edge.requests.event_stream import StreamProgress
+from cassiarail.edge.requests.evidence import ReceivedHead, collect_evidence
 from cassiarail.edge.requests.jobs import (
     AttemptResult,
     BufferedResponse,
     Job,
     Outcome,
+    Transmission,
 )
 from cassiarail.edge.requests.stream_heads import (
     begin_stream,
@@ -116,11 +120,11 @@
         job.in_flight = True
         self._reachability.begin(target.identity)
         try:
-            return await self._exchange(job, target, connection)
+            attempt_result = await self._exchange(job, target, connection)
         except ConnectionLostError as error:
             self._pool.discard(connection, error.message)
             self._observer.observe_loss(job, target)
-            return _record_interruption(job, error.message)
+            attempt_result = _record_interruption(job, error.message)
         except asyncio.CancelledError:
             self._abandoned.abandon(job, connection)
             raise
@@ -129,6 +133,9 @@
             raise
         finally:
             self._reachability.end(target.identity)
+        return attempt_result._replace(
+            evidence=collect_evidence(connection, job.newest.received_head)
+        )
 
     async def _exchange(
         self,
@@ -144,10 +151,10 @@
             resume_after=job.splitter.last_id if job.splitter else None,
         )
         head = self._dialect.encode_attempt(job.exchange.head, attempt)
-        job.sent_at = loop.time()
-        job.answer_began_at = None
+        job.newest = Transmission(loop.time())
         connection.send(head, job.exchange.body)
         response, facts = await self._read_head(job, connection)
+        job.newest.received_head = ReceivedHead(response.status, facts)
         self._availability.record_response(target, facts)
         self._reachability.record_activity(target.identity)
         connection.keep_alive_s = read_keep_alive(response.headers)
@@ -213,8 +220,18 @@
         response_id = self._dialect.decode_response(head).request_id
         if response_id is None:
             is_first = connection.sent_requests == 1
-            return is_first and head.status not in _SUCCESS_STATUSES
-        return response_id == request_id
+            matches = is_first and head.status not in _SUCCESS_STATUSES
+        else:
+            matches = response_id == request_id
+        if not matches:
+            emit_event(
+                RESPONSE_SKIPPED,
+                request=request_id,
+                status=head.status,
+                response_id=response_id,
+                connection_request=connection.sent_requests,
+            )
+        return matches
 
     async def _wait_for_target(
         self,
--- a/cassiarail/edge/requests/forwarding.py
+++ b/cassiarail/edge/requests/forwarding.py
@@ -14,6 +14,7 @@
     REQUEST_CRASHED,
     REQUEST_ENDED,
     REQUEST_REFUSED,
+    STREAM_RESUMED,
     TARGET_EJECTED,
 )
 from cassiarail.edge.fleet.demand import DemandMeter
@@ -188,6 +189,8 @@
             target = await self._find_target(job)
             if target is None:
                 return job.attempts[-1]
+            if job.attempts and job.response_started:
+                _log_resumption(job, target)
             attempt_result = await self._attempt(job, target)
             if not self._may_try_next(job, attempt_result):
                 return attempt_result
@@ -211,6 +214,7 @@
             directory=target.holdings.order_count,
             parts=job.request.prefix_parts,
             began=job.response_started,
+            **_describe_evidence(attempt_result),
         )
         if attempt_result.outcome is Outcome.NOT_RUN:
             self._parts.selector.record_missing(target, job.request.variant)
@@ -352,6 +356,7 @@
             request=job.request.request_id,
             ended=ending,
             verdict=job.verdict.value,
+            status=job.exchange.status,
             route=job.route.name,
             service=job.service.name,
             want=f'{variant.model}/{variant.adapter}' if variant else '',
@@ -362,5 +367,20 @@
         )
 
 
+def _log_resumption(job: Job, target: Target) -> None:
+    emit_event(
+        STREAM_RESUMED,
+        request=job.request.request_id,
+        target=target.instance,
+        previous=job.tried_targets[-1].instance,
+        after=job.splitter.last_id if job.splitter else None,
+    )
+
+
+def _describe_evidence(attempt_result: AttemptResult) -> dict[str, object]:
+    evidence = attempt_result.evidence
+    return {} if evidence is None else evidence._asdict()
+
+
 def _may_repeat(job: Job) -> bool:
     return job.route.may_repeat and job.possible_runs < job.route.attempts
--- a/cassiarail/edge/requests/jobs.py
+++ b/cassiarail/edge/requests/jobs.py
@@ -11,6 +11,7 @@
 from cassiarail.edge.registry.configuration import Configuration, Route, Service
 from cassiarail.edge.registry.targets import Target
 from cassiarail.edge.requests.event_stream import EventSplitter
+from cassiarail.edge.requests.evidence import AttemptEvidence, ReceivedHead
 from cassiarail.http1.exchanges import Exchange, ResponseProgress
 from cassiarail.http1.messages import Headers
 from cassiarail.limits.byte_budget import ByteReservation
@@ -41,11 +42,15 @@
 
 
 class AttemptResult(NamedTuple):
-    """Hold how an attempt ended and a target's error response, if any."""
+    """Hold how an attempt ended and a target's error response, if any.
+
+    ``evidence`` is ``None`` if no byte of the request was sent.
+    """
 
     outcome: Outcome
     reason: str
     response: BufferedResponse | None = None
+    evidence: AttemptEvidence | None = None
 
     @property
     def verdict(self) -> Verdict:
@@ -66,12 +71,21 @@
     return False
 
 
+class Transmission:
+    """Hold when a request was sent to a target, and what came back."""
+
+    def __init__(self, sent_at: float) -> None:
+        self.sent_at = sent_at
+        self.answer_began_at: float | None = None
+        self.received_head: ReceivedHead | None = None
+
+
 class Job:
     """Hold the state of one request while it is handled.
 
     Times are those of the event loop, in seconds. ``may_switch`` returns
     whether another target can run the request if the current one stalls.
-    ``sent_at`` and ``answer_began_at`` are those of the newest attempt.
+    ``newest`` is the newest transmission of the request to a target.
     """
 
     def __init__(
@@ -99,8 +113,7 @@
         self.in_flight = False
         self.may_switch: Callable[[], bool] = _cannot_switch
         self.reservations: list[ByteReservation] = []
-        self.sent_at = float(0)
-        self.answer_began_at: float | None = None
+        self.newest = Transmission(0)
         self._shared_parts = _find_shared_parts(request.prefix_parts)
 
     @property
--- a/cassiarail/http1/connections.py
+++ b/cassiarail/http1/connections.py
@@ -37,7 +37,9 @@
         self.idle_since = float(0)
         self.keep_alive_s: float | None = None
         self.is_closed = False
+        self.is_closed_by_peer = False
         self.sent_requests = 0
+        self.unsent_bytes = 0
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._parser = _create_parser()
@@ -68,6 +70,7 @@
         """Pass the end of the server's data to the parser."""
         if self._is_busy:
             self._parser.receive_data(b'')
+        self.is_closed_by_peer = self.is_closed_by_peer or not self.is_closed
         self.is_closed = True
         self._wake()
         return False
@@ -76,6 +79,9 @@
         """Fail the request in progress, unless its response is complete."""
         if error is not None or self._error is None:
             self._error = repr(error) if error else 'closed by the server'
+        # A path that is lost says nothing of the server.
+        if not (self.is_closed or isinstance(error, TimeoutError)):
+            self.is_closed_by_peer = True
         self.is_closed = True
         self._wake()
         self._on_closed(self)
@@ -85,6 +91,7 @@
         self._error = self._error or reason
         self.is_closed = True
         if self._transport is not None:
+            self.unsent_bytes = self._transport.get_write_buffer_size()
             self._transport.abort()
         self._wake()
 
--- a/cassiarail/http1/exchanges.py
+++ b/cassiarail/http1/exchanges.py
@@ -19,11 +19,13 @@
 
     ``received_at`` is the event loop time at which the head was read. Data
     sent after the client has disconnected is discarded. ``number`` counts the
-    requests of a connection, which may share one exchange.
+    requests of a connection, which may share one exchange. ``status`` is 0
+    until the head of the response is sent.
     """
 
     progress = ResponseProgress.NOT_BEGUN
     number = 0
+    status = 0
 
     head: RequestHead
     body: bytes
--- a/cassiarail/http1/writing.py
+++ b/cassiarail/http1/writing.py
@@ -58,6 +58,7 @@
         self.head = head
         self.body = body
         self.progress = ResponseProgress.NOT_BEGUN
+        self.status = 0
 
     def detach(self) -> None:
         """Discard all further bytes because the client has disconnected."""
@@ -139,6 +140,7 @@
             ),
         )
         self.progress = ResponseProgress.BEGUN
+        self.status = status
 
     def _send(self, event: h11.Event) -> None:
         if self._transport is None:
