Show that a stream goes on elsewhere while its engine may still run it

Change: the stand-ins stall, go on after a close, repeat, lose and spoil answers, and report their runs; a check of overlapping runs; tests for one process. GONE leaves out the runs that such an engine goes on with: no host can end them.

--- /dev/null
+++ b/tests/edge/requests/test_stalled_runs.py
@@ -0,0 +1,226 @@
+"""Test that a request doesn't go on elsewhere while a target may run it."""
+
+import asyncio
+import json
+
+import pytest
+
+from cassiarail.edge.requests.jobs import Outcome
+from tests.edge.harness import (
+    CONFIGURATION,
+    Fleet,
+    encode_request,
+    make_response,
+    make_route,
+    serve,
+)
+from tests.edge.requests.test_forwarding import (
+    STREAM_HEAD,
+    encode_chunk,
+    serve_stream,
+)
+from tests.http1.wire import ScriptedServer, run_with_timeout
+
+FIRST_EVENT = STREAM_HEAD + encode_chunk(b'id: 1\ndata: a\n\n')
+RESUMABLE = CONFIGURATION.routes[3]
+# Longer than a host waits for the end of a run.
+ENDLESS_S = 60.0
+
+
+class StallingEngine:
+    """Send one event, stall, and work on after the connection is closed.
+
+    ``waiting`` requests are in its queue. With ``answers_reports`` unset, it
+    accepts connections and answers no request for a report.
+    """
+
+    def __init__(
+        self, works_on_s, sent=FIRST_EVENT, waiting=0, answers_reports=True
+    ):
+        self.ends_at = float('inf')
+        self.reports = 0
+        self._works_on_s = works_on_s
+        self._sent = sent
+        self._waiting = waiting
+        self._answers_reports = answers_reports
+
+    async def script(self, server, reader, writer):
+        head, _body = await server.read_request(reader)
+        if head.startswith(b'GET /v1/report '):
+            await self._report(reader, writer)
+            return
+        writer.write(self._sent)
+        await writer.drain()
+        await reader.read()
+        now = asyncio.get_running_loop().time()
+        self.ends_at = now + self._works_on_s
+
+    async def _report(self, reader, writer):
+        self.reports += 1
+        if not self._answers_reports:
+            await reader.read()
+            return
+        now = asyncio.get_running_loop().time()
+        runs = [['r1', 10, 1, 5]] if now < self.ends_at else []
+        report = {
+            'models': [],
+            'seq': 0,
+            'busy': False,
+            'waiting': self._waiting,
+            'runs': runs,
+        }
+        writer.write(make_response(json.dumps(report).encode()))
+        await writer.drain()
+        await reader.read()
+
+
+def send_to(stalling, route='resume', configuration=CONFIGURATION):
+    """Return what the caller received, and when the second engine was sent it.
+
+    The time is ``None`` if it was sent nothing.
+    """
+    outcome = []
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        resumed_at = []
+        resume = serve_stream(b'id: 2\ndata: b\n\n')
+
+        async def record_and_resume(server, reader, writer):
+            resumed_at.append(loop.time())
+            await resume(server, reader, writer)
+
+        async with (
+            ScriptedServer(stalling.script) as first,
+            ScriptedServer(record_and_resume) as second,
+            Fleet(configuration) as host,
+        ):
+            outcome.append(await host.send_with_successor(route, first, second))
+            outcome.extend(resumed_at or [None])
+
+    run_with_timeout(main)
+    return outcome
+
+
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED 7')
+def test_a_stream_goes_on_elsewhere_only_after_the_run_before_has_ended():
+    # Two engines worked on one request (TWICE).
+    stalling = StallingEngine(works_on_s=0.6)
+    received, resumed_at = send_to(stalling)
+    assert b'id: 2\n' in received
+    assert received.endswith(b'0\r\n\r\n')
+    assert resumed_at >= stalling.ends_at
+    assert stalling.reports
+
+
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED 7')
+@pytest.mark.parametrize(
+    'stalling',
+    [
+        StallingEngine(ENDLESS_S),
+        StallingEngine(0, waiting=3),
+        StallingEngine(0, answers_reports=False),
+    ],
+    ids=['listed', 'queued', 'mute'],
+)
+def test_a_stream_whose_run_may_go_on_ends_instead(stalling):
+    # Its caller can resume it by itself at once.
+    received, resumed_at = send_to(stalling)
+    assert resumed_at is None
+    assert b'id: 1\n' in received
+    assert not received.endswith(b'0\r\n\r\n')
+
+
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED 7')
+def test_a_request_without_an_answer_is_not_refused_while_it_may_run():
+    route = RESUMABLE._replace(objective_s=0.1)
+    configuration = CONFIGURATION._replace(routes=(route,))
+    received, resumed_at = send_to(
+        StallingEngine(ENDLESS_S, sent=b''), configuration=configuration
+    )
+    assert resumed_at is None
+    assert received.startswith(b'HTTP/1.1 502')
+
+
+def test_a_stream_of_an_engine_that_is_gone_goes_on_at_once():
+    async def main():
+        stalling = StallingEngine(ENDLESS_S)
+        first = ScriptedServer(stalling.script)
+        second = ScriptedServer(serve_stream(b'id: 2\ndata: b\n\n'))
+        async with second, Fleet() as host:
+            await first.__aenter__()
+            host.add(first, 'i-0')
+            pending = asyncio.ensure_future(host.send_request('resume'))
+            while not first.received:
+                await asyncio.sleep(0.001)
+            host.add(second, 'i-1')
+            # It stops listening without closing the connection.
+            first._server.close()
+            received = await pending
+            assert received.endswith(b'0\r\n\r\n')
+            await first.__aexit__()
+
+    run_with_timeout(main)
+
+
+def test_a_caller_that_reads_slowly_is_no_stall_of_the_engine():
+    # The host gave up engines that had sent everything.
+    events = b''.join(
+        b'id: %d\ndata: %s\n\n' % (number, b'x' * 60_000)
+        for number in range(1, 60)
+    )
+
+    async def main():
+        route = make_route('bulk', RESUMABLE.kind, can_resume=True)
+        configuration = CONFIGURATION._replace(routes=(route,))
+        async with (
+            ScriptedServer(serve_stream(events)) as engine,
+            ScriptedServer(serve_stream(b'id: 60\ndata: b\n\n')) as other,
+            Fleet(configuration) as host,
+        ):
+            host.add(engine, 'i-0')
+            reader, writer = await asyncio.open_connection(
+                *host.address, limit=1024
+            )
+            writer.write(encode_request('bulk'))
+            await reader.readuntil(b'\r\n\r\n')
+            host.add(other, 'i-1')
+            await asyncio.sleep(2.5)
+            received = await reader.read(-1)
+            writer.close()
+            assert not other.received
+            assert b'id: 59\n' in received
+            assert received.endswith(b'0\r\n\r\n')
+
+    run_with_timeout(main)
+
+
+@pytest.mark.parametrize(
+    'route',
+    [
+        pytest.param(
+            'file',
+            marks=pytest.mark.xfail(strict=True, reason='KNOWN-RED 8'),
+        ),
+        'stream',
+    ],
+)
+def test_an_error_of_the_host_after_an_answer_is_no_refusal(route):
+    # 503 promises that the request has not run and never will.
+    async def main():
+        script = serve(make_response())
+        if route == 'stream':
+            script = serve_stream(b'id: 1\ndata: a\n\n')
+        async with ScriptedServer(script) as engine, Fleet() as host:
+            host.add(engine, 'i-0')
+            runner = host.forwarder._parts.runner
+            runner._observer.record_answer = fail
+            received = await host.send_request(route)
+            assert engine.received
+            assert b' 503 ' not in received
+
+    run_with_timeout(main)
+
+
+def fail(*_arguments):
+    raise RuntimeError(Outcome.SUCCEEDED.value)
--- a/tests/soak/drill.py
+++ b/tests/soak/drill.py
@@ -51,13 +51,17 @@
 
 
 class Report(NamedTuple):
-    """Hold the result of a run; ``broken`` describes violated guarantees."""
+    """Hold the result of a run; ``broken`` describes violated guarantees.
+
+    ``answers`` counts the answers that engines drew a fault for.
+    """
 
     seed: int
     calls: int
     served: int
     faults: list
     broken: list
+    answers: dict
 
 
 class SoakRun:
@@ -116,7 +120,12 @@
             violations.append(f'RECOVER {share:.2f} were served at the end')
         served = sum(call.status == 200 and call.is_complete for call in calls)
         return Report(
-            self._seed, len(calls), served, self._injected, violations
+            self._seed,
+            len(calls),
+            served,
+            self._injected,
+            violations,
+            dict(self._records.faults),
         )
 
     async def _start(self):
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -3,10 +3,11 @@
 import asyncio
 import collections
 import json
+import math
 import random
 import time
 
-from tests.soak.http_server import HttpServer
+from tests.soak.http_server import Abort, HttpServer
 from tests.soak.links import Link
 from tests.soak.loopback import ADDRESS
 from tests.soak.stability import Arrival, Execution
@@ -28,6 +29,19 @@
 # Some streams last long enough for clients to disconnect in the middle.
 _SLOW_EVENT_INTERVAL_S = 0.4
 _SLOW_SHARE = 0.15
+# Some streams stall, and some engines go on after their caller has closed the
+# connection.
+_STALL_SHARE = 0.08
+_STALL_RANGE_S = (2.0, 5.0)
+_GOES_ON_SHARE = 0.5
+# Some engines send an answer twice, at once or later.
+_COPY_SHARE = 0.06
+_COPY_DELAYS_S = (0.0, 0.05)
+# Some answers are lost, or replaced by a failure that promises nothing.
+_SPOILED_SHARE = 0.06
+# Reports describe the engine as it was this long ago.
+_REPORT_LAG_S = 0.1
+_REPORT_HISTORY_S = 10.0
 
 
 class Records:
@@ -41,6 +55,7 @@
         self.arrivals = []
         self.executions = []
         self.tainted = []
+        self.faults = collections.Counter()
         self.crashes = collections.defaultdict(list)
 
 
@@ -72,6 +87,9 @@
         self._records = records
         self._store = store
         self._generator = random.Random(seed)
+        # The other draws of a seed stay the same.
+        self._answer_generator = random.Random(f'{seed} answers')
+        self._run_times = {}
         self._incarnations = 0
         self._heartbeat_task = None
         self._order_tasks = set()
@@ -170,7 +188,7 @@
     async def _handle(self, request, response):
         expected = request.headers.get('x-cassiarail-expect-instance')
         if expected not in {None, self.instance}:
-            await response.respond(421, {'x-cassiarail-not-run': '1'})
+            await self._refuse(request, response, 421)
         elif request.path == '/v1/report':
             await response.respond_json(200, self._make_report())
         elif request.path == '/v1/order':
@@ -190,8 +208,39 @@
             'kv_used': 0,
             'kv_total': 1,
             'handles': 0,
+            'runs': [[each, 10, 1, 5] for each in self._list_runs()],
         }
 
+    def _list_runs(self):
+        seen_at = time.monotonic() - _REPORT_LAG_S
+        self._run_times = {
+            request_id: times
+            for request_id, times in self._run_times.items()
+            if times[1] > seen_at - _REPORT_HISTORY_S
+        }
+        return [
+            request_id
+            for request_id, (started_at, ended_at) in self._run_times.items()
+            if started_at <= seen_at < ended_at
+        ]
+
+    async def _refuse(self, request, response, status):
+        self._draw_copy(response)
+        headers = {
+            'x-cassiarail-not-run': '1',
+            'x-cassiarail-request-id': request.headers.get(
+                'x-cassiarail-request-id', ''
+            ),
+            'retry-after': '0.3',
+        }
+        await response.respond(status, headers)
+
+    def _draw_copy(self, response):
+        generator = self._answer_generator
+        if generator.random() < _COPY_SHARE:
+            response.copy_delay_s = generator.choice(_COPY_DELAYS_S)
+            self._records.faults['copy'] += 1
+
     async def _handle_order(self, order, response):
         leader = order['holder'].rpartition('.')[0]
         self._records.orders.append(
@@ -235,11 +284,10 @@
             )
         model = request.headers.get('x-cassiarail-model', '').partition('/')[0]
         if model and model not in self._held:
-            await response.respond(421, {'x-cassiarail-not-run': '1'})
+            await self._refuse(request, response, 421)
             return
         if self._running >= 8:
-            refusal = {'x-cassiarail-not-run': '1', 'retry-after': '0.3'}
-            await response.respond(503, refusal)
+            await self._refuse(request, response, 503)
             return
         part = find_deadly_part(request.headers)
         if part is not None:
@@ -248,6 +296,8 @@
         self._records.runs[request_id] += 1
         self._records.services.setdefault(request_id, self.service)
         self._running += 1
+        self._run_times[request_id] = (time.monotonic(), math.inf)
+        self._draw_copy(response)
         headers = {
             'x-cassiarail-request-id': request_id,
             'x-cassiarail-server-stamp': f'{self.instance}.{request_id}',
@@ -259,9 +309,21 @@
                 await self._stream(request, response, headers)
             else:
                 await asyncio.sleep(_SERVICE_DURATION_S)
-                await response.respond(200, headers, request_id.encode())
+                await self._answer(response, headers, request_id)
         finally:
             self._running -= 1
+            started_at, _ended_at = self._run_times[request_id]
+            self._run_times[request_id] = (started_at, time.monotonic())
+
+    async def _answer(self, response, headers, request_id):
+        generator = self._answer_generator
+        if generator.random() >= _SPOILED_SHARE:
+            await response.respond(200, headers, request_id.encode())
+            return
+        self._records.faults['spoiled'] += 1
+        if generator.random() < 0.5:
+            raise Abort
+        await response.respond(503, headers)
 
     async def _crash_at(self, part, request_id):
         """Crash as the answer to a request begins, and return later."""
@@ -297,9 +359,12 @@
         is_slow = self._generator.random() < _SLOW_SHARE
         interval_s = _SLOW_EVENT_INTERVAL_S if is_slow else _EVENT_INTERVAL_S
         started_at = time.monotonic()
+        stalls_at, stall_s = self._draw_stall(response, len(events))
         try:
-            for event in events:
+            for number, event in enumerate(events):
                 await asyncio.sleep(interval_s)
+                if number == stalls_at:
+                    await asyncio.sleep(stall_s)
                 await response.send(event)
             await response.finish()
         finally:
@@ -309,6 +374,17 @@
                     self.name,
                     started_at,
                     time.monotonic(),
-                    started_at + interval_s * len(events),
+                    started_at + interval_s * len(events) + stall_s,
+                    response.goes_on_after_close,
                 )
             )
+
+    def _draw_stall(self, response, count):
+        """Return at which event a stream stalls, if at any, and how long."""
+        generator = self._answer_generator
+        if not count or generator.random() >= _STALL_SHARE:
+            return None, 0
+        self._records.faults['stall'] += 1
+        response.goes_on_after_close = generator.random() < _GOES_ON_SHARE
+        self._records.faults['goes on'] += response.goes_on_after_close
+        return generator.randrange(count), generator.uniform(*_STALL_RANGE_S)
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -8,6 +8,7 @@
     FaultPeriods,
     find_abandoned_work,
     find_late_requests,
+    find_overlapping_runs,
     find_tainted_requests,
 )
 
@@ -48,6 +49,7 @@
     violations.extend(find_tainted_requests(calls, records, faults))
     violations.extend(find_late_requests(calls, records.arrivals, faults))
     violations.extend(find_abandoned_work(calls, records.executions, faults))
+    violations.extend(find_overlapping_runs(calls, records.executions, faults))
     return violations
 
 
--- a/tests/soak/http_server.py
+++ b/tests/soak/http_server.py
@@ -38,8 +38,31 @@
     """Send a response, complete or in chunks."""
 
     def __init__(self, connection, writer):
+        self.goes_on_after_close = False
+        self.copy_delay_s = None
         self._connection = connection
         self._writer = writer
+        self._sent = b''
+        self._is_closed = False
+
+    def send_copy(self):
+        """Send all bytes of the response once more, if that was drawn."""
+        if self.copy_delay_s is not None:
+            asyncio.get_running_loop().call_later(
+                self.copy_delay_s, self._writer.write, self._sent
+            )
+
+    def detach(self):
+        """Send nothing more, as the caller has closed its connection."""
+        self._is_closed = True
+
+    async def _send(self, event):
+        if self._is_closed:
+            return
+        encoded = self._connection.send(event)
+        self._sent += encoded
+        self._writer.write(encoded)
+        await self._writer.drain()
 
     async def respond(self, status, headers=None, body=b''):
         """Send a complete response."""
@@ -56,17 +79,16 @@
     def send_head(self, status, headers):
         """Send the head."""
         event = h11.Response(status_code=status, headers=list(headers.items()))
-        self._writer.write(self._connection.send(event))
+        self._sent += self._connection.send(event)
+        self._writer.write(self._sent)
 
     async def send(self, chunk):
         """Send a chunk of the body."""
-        self._writer.write(self._connection.send(h11.Data(data=chunk)))
-        await self._writer.drain()
+        await self._send(h11.Data(data=chunk))
 
     async def finish(self):
         """End the response."""
-        self._writer.write(self._connection.send(h11.EndOfMessage()))
-        await self._writer.drain()
+        await self._send(h11.EndOfMessage())
 
 
 class HttpServer:
@@ -109,18 +131,24 @@
         request = await self._read(connection, reader)
         if request is None:
             return False
-        handler = asyncio.ensure_future(
-            self._handle(request, Response(connection, writer))
-        )
+        response = Response(connection, writer)
+        handler = asyncio.ensure_future(self._handle(request, response))
         # A caller that closes its connection cancels its request.
         disconnect = asyncio.ensure_future(reader.read(_CHUNK_BYTES))
         handler.add_done_callback(_check_task_result)
         disconnect.add_done_callback(_check_task_result)
-        done, _ = await asyncio.wait(
-            [handler, disconnect], return_when=asyncio.FIRST_COMPLETED
-        )
+        try:
+            done, _ = await asyncio.wait(
+                [handler, disconnect], return_when=asyncio.FIRST_COMPLETED
+            )
+            if handler not in done and response.goes_on_after_close:
+                response.detach()
+                await handler
+        finally:
+            # A crash ends what is running.
+            if not handler.done():
+                handler.cancel()
         if handler not in done:
-            handler.cancel()
             return False
         try:
             handler.result()
@@ -128,6 +156,7 @@
             return False
         if disconnect.done():
             return False
+        response.send_copy()
         disconnect.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await disconnect
--- a/tests/soak/stability.py
+++ b/tests/soak/stability.py
@@ -1,5 +1,7 @@
 """Check guarantees that apply only to hosts and engines without faults."""
 
+import collections
+import itertools
 from typing import NamedTuple
 
 # The platform's limits for its small deployments, in seconds: a host is stable
@@ -15,6 +17,8 @@
 # A part of prompts that has crashed this many engines may reach them so often.
 ALLOWED_CRASHES = 5
 ALLOWED_TAINTED = 3
+# A run may overlap the next run of its request for this long.
+OVERLAP_LIMIT_S = 0.4
 STORE = 'store'
 
 
@@ -36,13 +40,18 @@
 
 
 class Execution(NamedTuple):
-    """Record a run, and when it would have ended undisturbed."""
+    """Record a run, and when it would have ended undisturbed.
+
+    ``goes_on_after_close`` marks a run that its engine doesn't end when the
+    connection is closed; no host can end it.
+    """
 
     request_id: str
     engine: str
     started_at: float
     ended_at: float
     would_end_at: float
+    goes_on_after_close: bool = False
 
 
 class FaultPeriods:
@@ -99,6 +108,28 @@
             yield f'BUDGET {part} reached engines {late} times more'
 
 
+def find_overlapping_runs(calls, executions, fault_periods):
+    """Yield a line for each run that began while another one went on."""
+    calls_by_id = {call.request_id: call for call in calls}
+    runs = collections.defaultdict(list)
+    for execution in executions:
+        runs[execution.request_id].append(execution)
+    for request_id, each_run in runs.items():
+        call = calls_by_id.get(request_id)
+        each_run.sort(key=lambda execution: execution.started_at)
+        for before, after in itertools.pairwise(each_run):
+            limit = after.started_at + OVERLAP_LIMIT_S
+            if call is None or before.ended_at <= limit:
+                continue
+            subjects = {call.host, before.engine}
+            if fault_periods.are_stable(subjects, after.started_at, limit):
+                yield (
+                    f'TWICE {request_id} began at {after.engine} while '
+                    f'{before.engine} ran it for '
+                    f'{before.ended_at - after.started_at:.2f} s more'
+                )
+
+
 def find_abandoned_work(calls, executions, fault_periods):
     """Yield a line if much work continued after the clients disconnected."""
     disconnected = {
@@ -110,7 +141,7 @@
     long_executions, continued = [], []
     for execution in executions:
         call = disconnected.get(execution.request_id)
-        if call is None:
+        if call is None or execution.goes_on_after_close:
             continue
         limit = call.ended_at + CANCEL_LIMIT_S
         subjects = {call.host, execution.engine}
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -102,6 +102,20 @@
     assert not find_violations(calls, records)
 
 
+def test_overlapping_runs_of_a_request_are_detected():
+    call = make_call(RESUME, body=b''.join(make_events('r1')))
+    records = Records()
+    records.executions.append(Execution('r1', 'e0', 4, 8.5, 8.5))
+    records.executions.append(Execution('r1', 'e1', 8, 9, 9))
+    (line,) = find_violations([call], records)
+    assert line.startswith('TWICE')
+    for subject in ('h0', 'e0'):
+        period = FaultPeriod(subject, 4, 5.1)
+        assert not find_violations([call], records, (), [period])
+    records.executions[0] = Execution('r1', 'e0', 4, 8.4, 8.5)
+    assert not find_violations([call], records)
+
+
 def test_tainted_requests_after_five_crashes_are_detected():
     call = make_call(STREAM, 502, b'', stamp='')._replace(sent_at=11)
     records = Records()
