Let a stream go on elsewhere only after the run before has ended

Two engines worked on one request (TWICE): a stream that may be resumed stalled, its host closed the connection and sent it to another engine at once, while the first one went on. Cause: the host took the close of its own connection for the end of the run. A stalled or loaded engine sees the close late, and a few engines don't look. Change: after the host gave up a stream, RunMonitor asks the engine for its report, on a connection of its own and as of a time after the close. Only an engine that neither lists the run nor has requests waiting, that was replaced, or that can't be reached, lets the request go on; otherwise the caller's stream ends after 1.3 s, and the caller can resume it by itself. A connection that the engine closed needs no report.

--- a/cassiarail/edge/crashes/parts.py
+++ b/cassiarail/edge/crashes/parts.py
@@ -1,13 +1,16 @@
 """Build the components that quarantine parts of prompts."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from cassiarail.core.clock import Clock
 from cassiarail.edge.crashes.exchange import CrashExchange
+from cassiarail.edge.crashes.observer import CrashObserver
 from cassiarail.edge.crashes.persistence import QuarantineKeeper
 from cassiarail.edge.crashes.quarantines import Quarantines
 from cassiarail.edge.fleet.peers import PeerLink
+from cassiarail.edge.registry.targets import TargetDirectory
+from cassiarail.http1.pool import Address
 from cassiarail.limits.crash_attribution import CrashAttribution
 from cassiarail.store.observed import ObservedStore
 
@@ -24,6 +27,7 @@
         clock: Clock,
         generator: random.Random,
     ) -> None:
+        self._clock = clock
         self.quarantines = Quarantines(CrashAttribution(clock), clock)
         self.exchange = CrashExchange(
             host, link, self.quarantines, clock, generator
@@ -31,3 +35,11 @@
         self.keeper = QuarantineKeeper(
             store, self.quarantines, is_leader, clock, generator
         )
+
+    def build_observer(
+        self,
+        directory: TargetDirectory,
+        connect: Callable[[Address], Awaitable[None]],
+    ) -> CrashObserver:
+        """Return what confirms crashes by ``connect`` and records them."""
+        return CrashObserver(self.quarantines, directory, connect, self._clock)
--- a/cassiarail/edge/dialect.py
+++ b/cassiarail/edge/dialect.py
@@ -71,6 +71,18 @@
     pause_s: float | None = None
 
 
+class EngineActivity(NamedTuple):
+    """Hold what an engine reports of its requests.
+
+    ``running`` holds the ids of the requests that it runs; ``waiting`` counts
+    those that it may run later.
+    """
+
+    born_ms: int
+    running: frozenset[str]
+    waiting: int
+
+
 class Order(NamedTuple):
     """Order an engine to load or unload a model or an adapter.
 
@@ -124,9 +136,19 @@
         """Return the request that sends an order to an engine."""
 
     @abc.abstractmethod
-    def encode_report_request(self) -> RequestHead:
-        """Return the request for an engine's report."""
+    def encode_report_request(self, instance: str = '') -> RequestHead:
+        """Return the request for an engine's report.
+
+        If ``instance`` is set, another engine at the address refuses it.
+        """
 
     @abc.abstractmethod
     def decode_report(self, body: bytes) -> tuple[int, Holdings, bool]:
         """Decode a report: start time, holdings and whether it is busy."""
+
+    @abc.abstractmethod
+    def decode_activity(self, body: bytes) -> EngineActivity:
+        """Decode the requests that a report lists.
+
+        Raises ``UnreadableDocumentError`` if it is invalid or lists none.
+        """
--- a/cassiarail/edge/events.py
+++ b/cassiarail/edge/events.py
@@ -85,6 +85,11 @@
     level=logging.INFO,
     summary='stream is resumed at another target',
 )
+RUN_MAY_GO_ON = define_event(
+    number=2122,
+    level=logging.WARNING,
+    summary='request is not sent elsewhere; its target may still run it',
+)
 TARGET_ADDED = define_event(
     number=4201, level=logging.INFO, summary='target added'
 )
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -11,7 +11,6 @@
 from cassiarail.core.clock import BootClock
 from cassiarail.core.lifecycle import Application, Component
 from cassiarail.edge.control import ControlDependencies, ControlParts
-from cassiarail.edge.crashes.observer import CrashObserver
 from cassiarail.edge.dialect import Dialect
 from cassiarail.edge.metrics import EdgeMetrics
 from cassiarail.edge.registry.configuration import CurrentConfiguration
@@ -22,6 +21,7 @@
 from cassiarail.edge.requests.forwarding import Forwarder, ForwardingParts
 from cassiarail.edge.requests.load_times import LoadTimeEstimator
 from cassiarail.edge.requests.memory import build_request_memory
+from cassiarail.edge.requests.runs import RunMonitor
 from cassiarail.edge.requests.selection import TargetSelector
 from cassiarail.edge.status import MetricsListener, ReadinessListener
 from cassiarail.edge.upkeep import SettingsWatch, Upkeep
@@ -152,14 +152,12 @@
                     self._earliest_selector,
                     self._reachability,
                     self._control.availability,
-                    CrashObserver(
-                        self._control.crashes.quarantines,
-                        self._directory,
-                        self._pool.connect,
-                        clock,
+                    self._control.crashes.build_observer(
+                        self._directory, self._pool.connect
                     ),
                     self._memory.responses,
                 ),
+                runs=RunMonitor(self._dependencies.dialect, clock),
                 outliers=self._outliers,
                 waits=self._control.waits,
                 demand=self._control.demand_meter,
--- a/cassiarail/edge/requests/attempts.py
+++ b/cassiarail/edge/requests/attempts.py
@@ -125,7 +125,9 @@
         except ConnectionLostError as error:
             self._pool.discard(connection, error.message)
             self._observer.observe_loss(job, target)
-            attempt_result = _record_interruption(job, error.message)
+            attempt_result = _record_interruption(
+                job, error.message, may_go_on=not connection.is_closed_by_peer
+            )
         except asyncio.CancelledError:
             self._abandoned.abandon(job, connection)
             raise
@@ -379,12 +381,14 @@
     return job.route.may_repeat and job.possible_runs + 1 < job.route.attempts
 
 
-def _record_interruption(job: Job, reason: str) -> AttemptResult:
+def _record_interruption(
+    job: Job, reason: str, *, may_go_on: bool
+) -> AttemptResult:
     if not job.response_started:
-        return AttemptResult(Outcome.UNKNOWN, reason)
+        return AttemptResult(Outcome.UNKNOWN, reason, may_go_on=may_go_on)
     if job.splitter is not None:
         job.splitter.discard_partial()
-    return AttemptResult(Outcome.BROKEN, reason)
+    return AttemptResult(Outcome.BROKEN, reason, may_go_on=may_go_on)
 
 
 def _select_headers(job: Job, head: ResponseHead) -> Headers:
--- a/cassiarail/edge/requests/forwarding.py
+++ b/cassiarail/edge/requests/forwarding.py
@@ -28,6 +28,7 @@
 from cassiarail.edge.requests.endings import end_request, refuse
 from cassiarail.edge.requests.jobs import AttemptResult, Job, Outcome
 from cassiarail.edge.requests.refusals import Refusal, build_stop_refusal
+from cassiarail.edge.requests.runs import RunMonitor
 from cassiarail.edge.requests.selection import TargetSelector
 from cassiarail.edge.requests.suspects import CrashSuspects
 from cassiarail.edge.requests.waiting import PlacementWaits
@@ -61,6 +62,7 @@
     configuration: CurrentConfiguration
     selector: TargetSelector
     runner: AttemptRunner
+    runs: RunMonitor
     outliers: OutlierDetector
     waits: PlacementWaits
     demand: DemandMeter
@@ -192,7 +194,7 @@
             if job.attempts and job.response_started:
                 _log_resumption(job, target)
             attempt_result = await self._attempt(job, target)
-            if not self._may_try_next(job, attempt_result):
+            if not await self._may_try_next(job, attempt_result):
                 return attempt_result
 
     async def _attempt(self, job: Job, target: Target) -> AttemptResult:
@@ -233,7 +235,9 @@
         if self._parts.outliers.record_failure(target.instance):
             emit_event(TARGET_EJECTED, target=target.instance)
 
-    def _may_try_next(self, job: Job, attempt_result: AttemptResult) -> bool:
+    async def _may_try_next(
+        self, job: Job, attempt_result: AttemptResult
+    ) -> bool:
         """Return whether another target may be tried after an attempt."""
         if attempt_result.outcome is Outcome.SUCCEEDED:
             return False
@@ -242,8 +246,18 @@
             return False
         if len(job.attempts) >= _MAX_ATTEMPTS:
             return False
+        # Other repeatable requests may run at several targets at once.
+        may_go_on = job.route.is_stream and attempt_result.may_go_on
+        if may_go_on and not await self._has_run_ended(job):
+            return False
         return self._parts.budget_of(job.service.name).try_spend()
 
+    async def _has_run_ended(self, job: Job) -> bool:
+        """Wait for the end of the newest run if another target is usable."""
+        return job.may_switch() and await self._parts.runs.wait_for_end(
+            job.request.request_id, job.tried_targets[-1]
+        )
+
     async def _find_target(self, job: Job) -> Target | None:
         """Return a target; wait for one only if it can be usable in time.
 
--- a/cassiarail/edge/requests/jobs.py
+++ b/cassiarail/edge/requests/jobs.py
@@ -44,13 +44,15 @@
 class AttemptResult(NamedTuple):
     """Hold how an attempt ended and a target's error response, if any.
 
-    ``evidence`` is ``None`` if no byte of the request was sent.
+    ``evidence`` is ``None`` if no byte of the request was sent. ``may_go_on``
+    shows that the host closed the connection before the target had ended.
     """
 
     outcome: Outcome
     reason: str
     response: BufferedResponse | None = None
     evidence: AttemptEvidence | None = None
+    may_go_on: bool = False
 
     @property
     def verdict(self) -> Verdict:
--- /dev/null
+++ b/cassiarail/edge/requests/runs.py
@@ -0,0 +1,117 @@
+"""Find out whether a target has ended a run that this host gave up.
+
+A target drops a request when it sees that its connection is closed. One that
+is stalled or overloaded sees it late, and a few don't look. Until its own
+report shows the end, the request must not go on at another target.
+"""
+
+import asyncio
+import enum
+import http
+
+from cassiarail.core.clock import Clock
+from cassiarail.core.events import emit_event
+from cassiarail.core.exceptions import (
+    ConnectFailedError,
+    ConnectionLostError,
+    RequestError,
+)
+from cassiarail.edge.dialect import Dialect
+from cassiarail.edge.events import RUN_MAY_GO_ON
+from cassiarail.edge.registry.targets import Target
+from cassiarail.http1.calls import call_server
+from cassiarail.http1.pool import ConnectionPool, PoolRules
+
+_CONNECT_TIMEOUT_S = 0.5
+_REPORT_TIMEOUT_S = 0.4
+# Reports describe a target as it was some hundred milliseconds ago.
+_REPORT_LAG_S = 0.3
+_POLL_INTERVAL_S = 0.2
+# Callers abort a stream after a gap of two seconds at the earliest, and the
+# stall itself has taken 1.5 s of the usual gap; the rest is theirs.
+_LIMIT_S = 1.3
+# A report with hundreds of runs has a tenth of this.
+_MAX_REPORT_BYTES = 262_144
+
+
+class RunState(enum.Enum):
+    """Name what a target's report says of a run."""
+
+    ENDED = 'ended'
+    UNREACHABLE = 'unreachable'
+    LISTED = 'listed'
+    QUEUED = 'maybe queued'
+    UNKNOWN = 'no usable report'
+
+
+class RunMonitor:
+    """Wait for the end of runs whose connections this host has closed."""
+
+    def __init__(self, dialect: Dialect, clock: Clock) -> None:
+        """Open a connection for each report.
+
+        On a kept connection, the next response may be a copy of an older
+        report.
+        """
+        self._dialect = dialect
+        self._clock = clock
+        self._pool = ConnectionPool(PoolRules(_CONNECT_TIMEOUT_S, max_idle=0))
+
+    async def wait_for_end(self, request_id: str, target: Target) -> bool:
+        """Return whether a run has ended or its target can't be reached.
+
+        A target that can't be reached can't be told to end the run either.
+        """
+        until = self._clock.monotonic() + _LIMIT_S
+        await self._clock.sleep(_REPORT_LAG_S)
+        while True:
+            state = await self._read_state(request_id, target)
+            if state in {RunState.ENDED, RunState.UNREACHABLE}:
+                return True
+            if self._clock.monotonic() + _POLL_INTERVAL_S > until:
+                break
+            await self._clock.sleep(_POLL_INTERVAL_S)
+        emit_event(
+            RUN_MAY_GO_ON,
+            request=request_id,
+            target=target.instance,
+            state=state.value,
+        )
+        return False
+
+    async def _read_state(self, request_id: str, target: Target) -> RunState:
+        try:
+            response = await call_server(
+                self._pool,
+                target.address,
+                (self._dialect.encode_report_request(target.instance), b''),
+                _REPORT_TIMEOUT_S,
+                max_bytes=_MAX_REPORT_BYTES,
+            )
+        except ConnectFailedError as error:
+            # A target may refuse new connections and still finish its runs.
+            if isinstance(error.__cause__, asyncio.TimeoutError):
+                return RunState.UNREACHABLE
+            return RunState.UNKNOWN
+        except ConnectionLostError:
+            return RunState.UNKNOWN
+        if response.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+            # Another engine has the address.
+            return RunState.ENDED
+        if response.status != http.HTTPStatus.OK:
+            return RunState.UNKNOWN
+        return self._decode_state(request_id, target, response.body)
+
+    def _decode_state(
+        self, request_id: str, target: Target, body: bytes
+    ) -> RunState:
+        try:
+            activity = self._dialect.decode_activity(body)
+        except RequestError:
+            return RunState.UNKNOWN
+        if activity.born_ms not in {0, target.born_ms}:
+            return RunState.ENDED
+        if request_id in activity.running:
+            return RunState.LISTED
+        # Requests that wait, also preempted ones, are counted, not listed.
+        return RunState.QUEUED if activity.waiting else RunState.ENDED
--- a/cassiarail/platform/dialect.py
+++ b/cassiarail/platform/dialect.py
@@ -11,6 +11,7 @@
     AttemptParameters,
     CallerRequest,
     Dialect,
+    EngineActivity,
     Order,
     ReportedLoad,
     ResponseFacts,
@@ -133,14 +134,21 @@
             msgspec.json.encode(body),
         )
 
-    def encode_report_request(self) -> RequestHead:
+    def encode_report_request(self, instance: str = '') -> RequestHead:
         """Return the request for an engine's report."""
-        return RequestHead(b'GET', b'/v1/report', [_HOST_HEADER])
+        sent_headers = [_HOST_HEADER]
+        if instance:
+            sent_headers.append((headers.EXPECT_INSTANCE, instance.encode()))
+        return RequestHead(b'GET', b'/v1/report', sent_headers)
 
     def decode_report(self, body: bytes) -> tuple[int, Holdings, bool]:
         """Decode an engine's report."""
         return documents.decode_report(body)
 
+    def decode_activity(self, body: bytes) -> EngineActivity:
+        """Decode the requests that an engine's report lists."""
+        return documents.decode_activity(body)
+
 
 def _parse_deadline(head: RequestHead) -> float | None:
     text = find_header(head.headers, headers.DEADLINE_MS)
--- a/cassiarail/platform/documents.py
+++ b/cassiarail/platform/documents.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cassiarail.edge.dialect import UnreadableDocumentError
+from cassiarail.edge.dialect import EngineActivity, UnreadableDocumentError
 from cassiarail.edge.registry.configuration import (
     Configuration,
     EngineType,
@@ -72,6 +72,17 @@
     coming: list[str] = []
 
 
+class _EngineActivity(msgspec.Struct):
+    """Define the part of a report that concerns requests.
+
+    Each entry of ``runs`` is a list that begins with the request's id.
+    """
+
+    waiting: _WholeNumber
+    runs: list[list[Any]]
+    born: _WholeNumber = 0
+
+
 class _WeightedService(msgspec.Struct):
     service: str
     wt: int
@@ -178,6 +189,22 @@
     return report.born, holdings._replace(models=models), report.busy
 
 
+def decode_activity(body: bytes) -> EngineActivity:
+    """Decode the requests that an engine's report lists.
+
+    Raises ``UnreadableDocumentError`` if it is invalid.
+    """
+    try:
+        activity = msgspec.json.decode(body, type=_EngineActivity)
+    except (ValueError, RecursionError) as error:
+        raise UnreadableDocumentError(f'report: {error}') from error
+    return EngineActivity(
+        activity.born,
+        frozenset(str(run[0]) for run in activity.runs if run),
+        activity.waiting,
+    )
+
+
 def decode_configuration(document: Any) -> Configuration:
     """Decode the operator's configuration.
 
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -1,6 +1,7 @@
 """Run one host's forwarding path against scripted engines."""
 
 import asyncio
+import json
 import random
 
 from prometheus_client import CollectorRegistry
@@ -25,6 +26,7 @@
 from cassiarail.edge.registry.targets import Holdings, Target, TargetDirectory
 from cassiarail.edge.requests.attempts import AttemptRunner
 from cassiarail.edge.requests.forwarding import Forwarder, ForwardingParts
+from cassiarail.edge.requests.runs import RunMonitor
 from cassiarail.edge.requests.selection import TargetSelector
 from cassiarail.edge.requests.suspects import CrashSuspects
 from cassiarail.edge.requests.waiting import PlacementWaits
@@ -141,6 +143,7 @@
                     ),
                     self.memory,
                 ),
+                RunMonitor(dialect, self.clock),
                 self.outliers,
                 self.waits,
                 DemandMeter(self.clock),
@@ -239,6 +242,23 @@
 )
 
 
+def make_report(running=(), waiting=0):
+    """Return the response with an engine's report."""
+    report = {
+        'models': [],
+        'seq': 0,
+        'busy': False,
+        'waiting': waiting,
+        'runs': [[request_id, 10, 1, 5] for request_id in running],
+    }
+    return make_response(json.dumps(report).encode())
+
+
+def is_report_request(head):
+    """Return whether a request asks for an engine's report."""
+    return head.startswith(b'GET /v1/report ')
+
+
 def serve(*responses):
     """Return a script that sends each response, or resets for ``None``."""
     remaining = list(responses)
