Let the gateway go on elsewhere only after the engine has ended the stream

Change: the next attempt waits for the engine's answer to the cancellation; only an engine that ended the stream, doesn't know it or accepts no connection lets it go on. Without an answer within 2 s the request ends as one that may have run. Evidence: two cases of test_streams.py failed before and pass.

--- a/cassiarail/gateway/attempts.py
+++ b/cassiarail/gateway/attempts.py
@@ -192,17 +192,18 @@
 
     async def _wait_before_retry(self) -> None:
         if self._attempts >= MAX_ATTEMPTS:
-            raise self._build_failure('every attempt failed')
+            raise self.build_failure('every attempt failed')
         if not self.dependencies.budget.try_spend():
             emit_event(RETRY_REFUSED, request=self.facts.request_id)
-            raise self._build_failure('the retry budget is exhausted')
+            raise self.build_failure('the retry budget is exhausted')
         delay = self.dependencies.backoff.delay(
             self._attempts - 1,
             self.dependencies.generator,
         )
         await self.dependencies.clock.sleep(delay)
 
-    def _build_failure(self, reason: str) -> AttemptsFailedError:
+    def build_failure(self, reason: str) -> AttemptsFailedError:
+        """Return the error of a request that no further target may run."""
         return AttemptsFailedError(
             f'{reason}; last error: {self._last_error}',
             verdict=self.verdicts.combined(),
--- a/cassiarail/gateway/completions.py
+++ b/cassiarail/gateway/completions.py
@@ -57,6 +57,8 @@
 # Consecutive connections to a target without a new token, after which another
 # target is used.
 _MAX_STALLS_PER_TARGET = 2
+# An engine confirms the end of a stream within one step of its batch.
+_CANCEL_TIMEOUT_S = 2.0
 # The end of the body after [DONE] is read only so that the connection can be
 # reused.
 _BODY_END_TIMEOUT_S = 0.1
@@ -92,6 +94,7 @@
         )
         self._dependencies = dependencies
         self._job = job
+        self._may_go_on = False
 
     async def run(self, deliver: Deliver) -> None:
         """Deliver blocks of whole events until the stream is complete.
@@ -118,6 +121,10 @@
                 raise
             except TargetError as error:
                 self.plan.record_failure(target, error)
+                if self._may_go_on:
+                    raise self.plan.build_failure(
+                        'the target may still run the request'
+                    ) from error
 
     def _find_candidates(self) -> Sequence[TargetState]:
         facts = self._job.facts
@@ -160,7 +167,7 @@
         target: TargetState,
         hop: Hop,
     ) -> AsyncIterator[None]:
-        """Report to the crash guard; cancel the stream on failure."""
+        """Report to the crash guard; end the stream on failure."""
         guard = self._dependencies.attempts.guard
         run = GuardedRun(
             self._job.facts.fingerprint,
@@ -171,18 +178,34 @@
         await guard.on_start(run)
         try:
             yield
-        except BaseException as error:
+        except TargetError as error:
             if not _excludes_running_stream(error):
-                self._cancel_later(target, hop)
+                await self._end_run(target, hop)
             if isinstance(error, ConnectionLostError):
                 await guard.on_crash(run)
             raise
+        except BaseException:
+            self._cancel_later(target, hop)
+            raise
         else:
             await guard.on_success(run)
         finally:
             with anyio.CancelScope(shield=True):
                 await guard.on_end(run)
 
+    async def _end_run(self, target: TargetState, hop: Hop) -> None:
+        """Wait until the engine confirms that it doesn't run the stream."""
+        self._may_go_on = True
+        try:
+            with anyio.move_on_after(_CANCEL_TIMEOUT_S):
+                has_ended = await self._dependencies.engine.cancel_stream(
+                    target.address, hop
+                )
+                self._may_go_on = not has_ended
+        finally:
+            if self._may_go_on:
+                self._cancel_later(target, hop)
+
     def _cancel_later(self, target: TargetState, hop: Hop) -> None:
         self._dependencies.jobs.submit(
             functools.partial(self._cancel, target, hop),
--- a/cassiarail/targets/backends/engine.py
+++ b/cassiarail/targets/backends/engine.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cassiarail.core.exceptions import TargetError
+from cassiarail.core.exceptions import ConnectFailedError, TargetError
 from cassiarail.targets.backends.base import (
     ERROR_BODY_LIMIT,
     REQUEST_ID_HEADER,
@@ -70,13 +70,20 @@
             _require_same_request(response, hop)
             yield response
 
-    async def cancel_stream(self, address: str, hop: Hop) -> None:
-        """Request an engine to stop a stream; failures are ignored."""
+    async def cancel_stream(self, address: str, hop: Hop) -> bool:
+        """Stop a stream; return whether the engine doesn't run it any more.
+
+        An engine that can't be connected to has crashed or is cut off.
+        """
         path = f'/v1/streams/{hop.request_id}'
         request = self.build_request(hop, 'DELETE', build_url(address, path))
-        with contextlib.suppress(TargetError):
+        try:
             async with self.send(address, request):
-                return
+                return True
+        except (StreamUnknownError, ConnectFailedError):
+            return True
+        except TargetError:
+            return False
 
     async def check_response(self, response: TargetResponse) -> None:
         """Raise the error that corresponds to the status."""
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -20,10 +20,17 @@
     ``faults`` lists, for each connection in turn, after how many tokens which
     fault occurs: ``(1, 'break')``, ``(1, 'silent')``, ``(0, 'refuse')``,
     ``(2, 'repeat')``, ``(1, 'gap')``, ``(1, 'error')`` or ``(1, 'early')``.
+    A cancelled stream ends after ``cancel_s``.
     """
 
     def __init__(
-        self, name, faults=(), words=WORDS, retains_streams=True, pause_s=1
+        self,
+        name,
+        faults=(),
+        words=WORDS,
+        retains_streams=True,
+        pause_s=1,
+        cancel_s=0,
     ):
         self.name = name
         self.address = f'{name}.test:80'
@@ -31,6 +38,9 @@
         self.words = words
         self.retains_streams = retains_streams
         self.pause_s = pause_s
+        self.cancel_s = cancel_s
+        self.cancelled_at = None
+        self.started_at = None
         self.requests = []
         self.cancelled = []
         self.headers = []
@@ -43,6 +53,8 @@
         fault = self.faults.pop(0) if self.faults else (len(self.words), None)
         if method == 'DELETE':
             self.cancelled.append(scope['path'])
+            await anyio.sleep(self.cancel_s)
+            self.cancelled_at = anyio.current_time()
             await _send_response(send, 200, b'{}')
         elif method == 'GET' and not self.retains_streams:
             await _send_response(send, 404, b'{}')
@@ -54,6 +66,7 @@
             await self._stream(send, start, fault)
 
     async def _stream(self, send, start, fault):
+        self.started_at = anyio.current_time()
         headers = [(b'content-type', b'text/event-stream')]
         await send(
             {'type': 'http.response.start', 'status': 200, 'headers': headers},
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -72,6 +72,28 @@
     run_harness(scenario)
 
 
+@pytest.mark.parametrize('cancel_s', [1.0, 10_000])
+def test_goes_on_elsewhere_only_after_the_engine_has_ended_the_stream(cancel_s):
+    """Two engines worked on one request."""
+
+    async def scenario(harness, client):
+        first = harness.add(
+            FakeEngine(
+                'e1', [(3, 'gap')], retains_streams=False, cancel_s=cancel_s
+            )
+        )
+        second = harness.add(FakeEngine('e2'))
+        response = await client.post('/v1/chat/completions', json=chat(True))
+        if first.cancelled_at is None:
+            assert second.started_at is None
+            assert 'may still run' in response.text
+        else:
+            assert second.started_at >= first.cancelled_at
+            assert read_tokens(response.text) == COMPLETE_STREAM
+
+    run_harness(scenario)
+
+
 def test_replaces_the_connections_of_an_unresponsive_target():
     """Its other pooled connections must not be reused."""
 
