Decode each response head once, in the matcher that accepts it

Cause: a head was decoded when it was matched and again when it was read, and the evidence of an attempt was collected after successes too, where nobody reads it. Change: ResponseMatcher keeps the facts; it moves out of attempts.py.

--- a/cassiarail/edge/requests/abandoned.py
+++ b/cassiarail/edge/requests/abandoned.py
@@ -1,25 +1,23 @@
 """Read the responses of attempts whose callers have left."""
 
 import asyncio
-from collections.abc import Callable
 
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import ConnectionLostError
+from cassiarail.edge.dialect import Dialect
 from cassiarail.edge.events import ABANDONED_RESPONSE_LOST
 from cassiarail.edge.requests.jobs import Job
-from cassiarail.http1.connections import AcceptHead, ClientConnection
+from cassiarail.edge.requests.matching import ResponseMatcher
+from cassiarail.http1.connections import ClientConnection
 from cassiarail.http1.pool import ConnectionPool
 
-# Returns what accepts the response to a request on a connection.
-MakeMatcher = Callable[[str, ClientConnection], AcceptHead]
-
 
 class AbandonedAttempts:
     """End attempts whose callers disconnected or that timed out."""
 
-    def __init__(self, pool: ConnectionPool, make_matcher: MakeMatcher) -> None:
+    def __init__(self, pool: ConnectionPool, dialect: Dialect) -> None:
         self._pool = pool
-        self._make_matcher = make_matcher
+        self._dialect = dialect
         self._tasks: set[asyncio.Task[None]] = set()
 
     def abandon(self, job: Job, connection: ClientConnection) -> None:
@@ -45,7 +43,7 @@
         try:
             async with asyncio.timeout(remaining_s):
                 await connection.read_head(
-                    self._make_matcher(request_id, connection)
+                    ResponseMatcher(self._dialect, request_id, connection)
                 )
                 await connection.discard_body()
         except (TimeoutError, ConnectionLostError) as error:
--- a/cassiarail/edge/requests/attempts.py
+++ b/cassiarail/edge/requests/attempts.py
@@ -5,12 +5,10 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import ConnectFailedError, ConnectionLostError
 from cassiarail.core.verdict import Verdict
 from cassiarail.edge.crashes.observer import CrashObserver
 from cassiarail.edge.dialect import AttemptParameters, Dialect, ResponseFacts
-from cassiarail.edge.events import RESPONSE_SKIPPED
 from cassiarail.edge.registry.availability import TargetAvailability
 from cassiarail.edge.registry.targets import Target
 from cassiarail.edge.requests.abandoned import AbandonedAttempts
@@ -24,13 +22,17 @@
     Outcome,
     Transmission,
 )
+from cassiarail.edge.requests.matching import (
+    SUCCESS_STATUSES,
+    ResponseMatcher,
+)
 from cassiarail.edge.requests.stream_heads import (
     begin_stream,
     has_known_length,
     is_event_stream,
     split_chunk,
 )
-from cassiarail.http1.connections import AcceptHead, ClientConnection
+from cassiarail.http1.connections import ClientConnection
 from cassiarail.http1.messages import (
     Headers,
     ResponseHead,
@@ -47,7 +49,6 @@
 _MAX_RESPONSE_BYTES = 8_388_608
 # The body of a failure explains it; nothing that callers store is longer.
 _MAX_FAILURE_BYTES = 262_144
-_SUCCESS_STATUSES = range(http.HTTPStatus.OK, http.HTTPStatus.MULTIPLE_CHOICES)
 # Callers read these statuses as a guarantee that the request has not run and
 # never will.
 _NOT_RUN_STATUSES = frozenset(
@@ -89,7 +90,7 @@
         self._earliest_selector = earliest_selector
         self._reachability = reachability
         self._rules = rules or AttemptRules()
-        self._abandoned = AbandonedAttempts(pool, self._make_matcher)
+        self._abandoned = AbandonedAttempts(pool, dialect)
 
     async def run(self, job: Job, target: Target) -> AttemptResult:
         """Make one attempt; deliver a successful response to the caller.
@@ -136,6 +137,8 @@
             raise
         finally:
             self._reachability.end(target.identity)
+        if attempt_result.outcome is Outcome.SUCCEEDED:
+            return attempt_result
         return attempt_result._replace(
             evidence=collect_evidence(connection, job.newest.received_head)
         )
@@ -170,7 +173,7 @@
             job.settle(Verdict.NOT_RUN)
             await self._discard_refusal(connection)
             return AttemptResult(Outcome.NOT_RUN, f'status {response.status}')
-        if response.status not in _SUCCESS_STATUSES:
+        if response.status not in SUCCESS_STATUSES:
             return await self._read_failure(job, connection, response)
         if not (facts.is_signed and facts.is_unencoded):
             raise ConnectionLostError('response is unsigned or encoded')
@@ -193,48 +196,15 @@
         job: Job,
         connection: ClientConnection,
     ) -> tuple[ResponseHead, ResponseFacts]:
-        request_id = job.request.request_id
+        matcher = ResponseMatcher(
+            self._dialect, job.request.request_id, connection
+        )
         head = await self._wait_for_target(
             job,
-            connection.read_head(
-                self._make_matcher(request_id, connection),
-            ),
+            connection.read_head(matcher),
             self._compute_head_timeout_s(job),
         )
-        return head, self._dialect.decode_response(head)
-
-    def _make_matcher(
-        self, request_id: str, connection: ClientConnection
-    ) -> AcceptHead:
-        """Return what accepts the response to a request on a connection."""
-        return lambda head: self._matches_request(head, request_id, connection)
-
-    def _matches_request(
-        self,
-        head: ResponseHead,
-        request_id: str,
-        connection: ClientConnection,
-    ) -> bool:
-        """Return whether a response doesn't belong to an earlier request.
-
-        A failure without an id can only belong to the first request of a
-        connection; later, it may be a copy of an earlier refusal.
-        """
-        response_id = self._dialect.decode_response(head).request_id
-        if response_id is None:
-            is_first = connection.sent_requests == 1
-            matches = is_first and head.status not in _SUCCESS_STATUSES
-        else:
-            matches = response_id == request_id
-        if not matches:
-            emit_event(
-                RESPONSE_SKIPPED,
-                request=request_id,
-                status=head.status,
-                response_id=response_id,
-                connection_request=connection.sent_requests,
-            )
-        return matches
+        return head, matcher.facts
 
     async def _wait_for_target(
         self,
--- a/cassiarail/edge/requests/jobs.py
+++ b/cassiarail/edge/requests/jobs.py
@@ -44,8 +44,9 @@
 class AttemptResult(NamedTuple):
     """Hold how an attempt ended and a target's error response, if any.
 
-    ``evidence`` is ``None`` if no byte of the request was sent. ``may_go_on``
-    shows that the host closed the connection before the target had ended.
+    ``evidence`` is ``None`` after a success, and if nothing was sent.
+    ``may_go_on`` shows that the host closed the connection before the target
+    had ended.
     """
 
     outcome: Outcome
