Share the reports of an engine between the requests that wait for it

Change: one report at a time and target, at most one each 0.2 s, serves all requests that asked before it was requested. Evidence: the two new cases of test_stalled_runs.py failed before (20 reports at once) and pass.

--- a/cassiarail/edge/requests/runs.py
+++ b/cassiarail/edge/requests/runs.py
@@ -17,11 +17,12 @@
     ConnectionLostError,
     RequestError,
 )
-from cassiarail.edge.dialect import Dialect
+from cassiarail.edge.dialect import Dialect, EngineActivity
 from cassiarail.edge.events import RUN_MAY_GO_ON
 from cassiarail.edge.registry.targets import Target
 from cassiarail.http1.calls import call_server
 from cassiarail.http1.pool import ConnectionPool, PoolRules
+from cassiarail.limits.crash_evidence import TargetIdentity
 
 _CONNECT_TIMEOUT_S = 0.5
 _REPORT_TIMEOUT_S = 0.4
@@ -39,12 +40,16 @@
     UNKNOWN = 'no usable report'
 
 
+_ENDED_STATES = frozenset((RunState.ENDED, RunState.UNREACHABLE))
+
+
 class RunRules(NamedTuple):
     """Define how long the end of a run is waited for, in seconds.
 
     Reports describe a target as it was some hundred milliseconds ago, so the
-    first one is read ``report_lag_s`` after the close. Callers that wait for
-    longer than ``limit_s`` are better served by resuming the stream themselves.
+    first one is read ``report_lag_s`` after the close, and each further one
+    ``poll_interval_s`` later. Callers that wait for longer than ``limit_s`` are
+    better served by resuming the stream themselves.
     """
 
     report_lag_s: float = 0.3
@@ -52,6 +57,16 @@
     limit_s: float = 1.3
 
 
+class _ReportCache:
+    """Hold the newest report of a target, or why there is none."""
+
+    def __init__(self) -> None:
+        self.lock = asyncio.Lock()
+        self.users = 0
+        self.requested_at = float('-inf')
+        self.newest: EngineActivity | RunState = RunState.UNKNOWN
+
+
 class RunMonitor:
     """Wait for the end of runs whose connections this host has closed."""
 
@@ -67,22 +82,24 @@
         self._clock = clock
         self._rules = rules or RunRules()
         self._pool = ConnectionPool(PoolRules(_CONNECT_TIMEOUT_S, max_idle=0))
+        self._caches: dict[TargetIdentity, _ReportCache] = {}
 
     async def wait_for_end(self, request_id: str, target: Target) -> bool:
         """Return whether a run has ended or its target can't be reached.
 
         A target that can't be reached can't be told to end the run either.
+        Requests that wait for the same target share its reports.
         """
-        rules = self._rules
-        until = self._clock.monotonic() + rules.limit_s
-        await self._clock.sleep(rules.report_lag_s)
-        while True:
-            state = await self._read_state(request_id, target)
-            if state in {RunState.ENDED, RunState.UNREACHABLE}:
-                return True
-            if self._clock.monotonic() + rules.poll_interval_s > until:
-                break
-            await self._clock.sleep(rules.poll_interval_s)
+        cache = self._caches.setdefault(target.identity, _ReportCache())
+        cache.users += 1
+        try:
+            state = await self._poll(request_id, target, cache)
+        finally:
+            cache.users -= 1
+            if not cache.users:
+                self._caches.pop(target.identity, None)
+        if state in _ENDED_STATES:
+            return True
         emit_event(
             RUN_MAY_GO_ON,
             request=request_id,
@@ -91,7 +108,38 @@
         )
         return False
 
-    async def _read_state(self, request_id: str, target: Target) -> RunState:
+    async def _poll(
+        self, request_id: str, target: Target, cache: _ReportCache
+    ) -> RunState:
+        """Read reports until one shows the end of a run, or time is up."""
+        rules = self._rules
+        until = self._clock.monotonic() + rules.limit_s
+        await self._clock.sleep(rules.report_lag_s)
+        while True:
+            report = await self._read_shared(target, cache)
+            state = _find_state(request_id, target, report)
+            is_late = self._clock.monotonic() + rules.poll_interval_s > until
+            if is_late or state in _ENDED_STATES:
+                return state
+            await self._clock.sleep(rules.poll_interval_s)
+
+    async def _read_shared(
+        self, target: Target, cache: _ReportCache
+    ) -> EngineActivity | RunState:
+        """Return a report that was requested now or later."""
+        asked_at = self._clock.monotonic()
+        async with cache.lock:
+            if cache.requested_at < asked_at:
+                await self._refresh(target, cache)
+            return cache.newest
+
+    async def _refresh(self, target: Target, cache: _ReportCache) -> None:
+        next_at = cache.requested_at + self._rules.poll_interval_s
+        await self._clock.sleep(max(0, next_at - self._clock.monotonic()))
+        cache.requested_at = self._clock.monotonic()
+        cache.newest = await self._read(target)
+
+    async def _read(self, target: Target) -> EngineActivity | RunState:
         try:
             response = await call_server(
                 self._pool,
@@ -112,18 +160,20 @@
             return RunState.ENDED
         if response.status != http.HTTPStatus.OK:
             return RunState.UNKNOWN
-        return self._decode_state(request_id, target, response.body)
-
-    def _decode_state(
-        self, request_id: str, target: Target, body: bytes
-    ) -> RunState:
         try:
-            activity = self._dialect.decode_activity(body)
+            return self._dialect.decode_activity(response.body)
         except RequestError:
             return RunState.UNKNOWN
-        if activity.born_ms not in {0, target.born_ms}:
-            return RunState.ENDED
-        if request_id in activity.running:
-            return RunState.LISTED
-        # Requests that wait, also preempted ones, are counted, not listed.
-        return RunState.QUEUED if activity.waiting else RunState.ENDED
+
+
+def _find_state(
+    request_id: str, target: Target, report: EngineActivity | RunState
+) -> RunState:
+    if isinstance(report, RunState):
+        return report
+    if report.born_ms not in {0, target.born_ms}:
+        return RunState.ENDED
+    if request_id in report.running:
+        return RunState.LISTED
+    # Requests that wait, also preempted ones, are counted, not listed.
+    return RunState.QUEUED if report.waiting else RunState.ENDED
--- a/tests/edge/requests/test_stalled_runs.py
+++ b/tests/edge/requests/test_stalled_runs.py
@@ -43,6 +43,8 @@
     ):
         self.ends_at = float('inf')
         self.reports = 0
+        self.open_reports = 0
+        self.most_open_reports = 0
         self._works_on_s = works_on_s
         self._sent = sent
         self._waiting = waiting
@@ -61,13 +63,16 @@
 
     async def _report(self, reader, writer):
         self.reports += 1
+        self.open_reports += 1
+        self.most_open_reports = max(self.most_open_reports, self.open_reports)
         if not self._answers_reports:
             await reader.read()
+            self.open_reports -= 1
             return
         now = asyncio.get_running_loop().time()
         running = ['r1'] if now < self.ends_at else []
         writer.write(make_report(running, self._waiting))
-        await writer.drain()
+        self.open_reports -= 1
         await reader.read()
 
 
@@ -136,6 +141,33 @@
     assert received.startswith(b'HTTP/1.1 502')
 
 
+@pytest.mark.parametrize('answers_reports', [True, False])
+def test_requests_that_wait_for_one_engine_share_its_reports(answers_reports):
+    # A report may take 256 kB, for each of hundreds of streams at once.
+    stalling = StallingEngine(ENDLESS_S, answers_reports=answers_reports)
+
+    async def main():
+        async with (
+            ScriptedServer(stalling.script) as first,
+            ScriptedServer(serve_stream(b'id: 2\ndata: b\n\n')) as second,
+            Fleet() as host,
+        ):
+            host.add(first, 'i-0')
+            pending = [
+                asyncio.ensure_future(host.send_request('resume'))
+                for _each in range(20)
+            ]
+            while first.received.count(b'POST') < len(pending):
+                await asyncio.sleep(0.001)
+            host.add(second, 'i-1')
+            await asyncio.gather(*pending)
+            assert not second.received
+
+    run_with_timeout(main)
+    assert stalling.most_open_reports == 1
+    assert stalling.reports < 20
+
+
 @pytest.mark.parametrize(
     ('cause', 'has_ended'),
     [(TimeoutError(), True), (ConnectionRefusedError(), False)],
