Take a shared report as new only after it was read to its end

Cause: a report counted as requested before it was there. If the caller of the request that read it left, the next request in line took the older report for a new one, which could miss its run: the request went on elsewhere while it ran. Found by reading again. Evidence: the new case of test_stalled_runs.py failed before and passes.

--- a/cassiarail/edge/requests/runs.py
+++ b/cassiarail/edge/requests/runs.py
@@ -136,8 +136,10 @@
     async def _refresh(self, target: Target, cache: _ReportCache) -> None:
         next_at = cache.requested_at + self._rules.poll_interval_s
         await self._clock.sleep(max(0, next_at - self._clock.monotonic()))
-        cache.requested_at = self._clock.monotonic()
+        requested_at = self._clock.monotonic()
         cache.newest = await self._read(target)
+        # Not before: the request that reads it may be cancelled.
+        cache.requested_at = requested_at
 
     async def _read(self, target: Target) -> EngineActivity | RunState:
         try:
--- a/tests/edge/requests/test_stalled_runs.py
+++ b/tests/edge/requests/test_stalled_runs.py
@@ -5,8 +5,10 @@
 import pytest
 
 from cassiarail.core.exceptions import ConnectFailedError
+from cassiarail.edge.dialect import EngineActivity
 from cassiarail.edge.registry.targets import Target
 from cassiarail.edge.requests.jobs import Outcome
+from cassiarail.edge.requests.runs import RunRules
 from cassiarail.http1.pool import Address
 from tests.edge.harness import (
     CONFIGURATION,
@@ -240,3 +242,37 @@
 
 def fail(*_arguments):
     raise RuntimeError(Outcome.SUCCEEDED.value)
+
+
+def test_a_report_that_was_not_read_to_its_end_shows_nothing():
+    # The request that read it was cancelled; another one took an older report.
+    async def main():
+        rules = RunRules(report_lag_s=0.01, poll_interval_s=0.05, limit_s=0.3)
+        target = Target('i-0', 1, 's', Address('127.0.0.1', 1), 'dc', 8)
+        names = ('first', 'second', 'third')
+        readers = []
+
+        async def read(_target):
+            readers.append(asyncio.current_task())
+            if len(readers) == 2:
+                await asyncio.Event().wait()
+            running = names[:1] if len(readers) == 1 else names
+            return EngineActivity(0, frozenset(running), 0)
+
+        async with Fleet(run_rules=rules) as host:
+            monitor = host.forwarder._parts.runs
+            monitor._read = read
+            pending = []
+            # The first reads a report, the second begins the next one.
+            for name in names:
+                pending.append(
+                    asyncio.ensure_future(monitor.wait_for_end(name, target))
+                )
+                await asyncio.sleep(0.015)
+            while len(readers) < 2:
+                await asyncio.sleep(0.001)
+            readers[1].cancel()
+            found = await asyncio.gather(*pending, return_exceptions=True)
+            assert True not in found
+
+    run_with_timeout(main)
