Cancel no stream that its engine rejected

Cause: dropped the exception for errors that exclude a running stream from the path of errors that aren't a target's, which costs the engine a call. Measured: tests/gateway passed; behaviour as before on that path.

--- a/cassiarail/gateway/completions.py
+++ b/cassiarail/gateway/completions.py
@@ -184,8 +184,9 @@
             if isinstance(error, ConnectionLostError):
                 await guard.on_crash(run)
             raise
-        except BaseException:
-            self._cancel_later(target, hop)
+        except BaseException as error:
+            if not _excludes_running_stream(error):
+                self._cancel_later(target, hop)
             raise
         else:
             await guard.on_success(run)
