--- a/tests/edge/requests/test_faulty_targets.py
+++ b/tests/edge/requests/test_faulty_targets.py
@@ -81,6 +81,56 @@
         assert not other_runs
 
 
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED 7')
+@pytest.mark.parametrize('has_third', [True, False])
+def test_a_late_copy_of_a_refusal_is_not_taken_for_the_next_engine(has_third):
+    # An engine had restarted at the address: the request ran at the new one,
+    # and was refused or ran at a third one (REFUSED, TWICE).
+    refusal = NOT_RUN.replace(b'503 Busy', b'421 Other')
+    runs = []
+
+    async def main():
+        is_known = asyncio.Event()
+
+        async def respond(server, reader, writer):
+            while True:
+                head, _body = await server.read_request(reader)
+                if b'x-cassiarail-expect-instance: i-0' in head:
+                    await is_known.wait()
+                    writer.write(refusal)
+                    continue
+                runs.append('i-1')
+                if server.connections == 1:
+                    writer.write(refusal)
+                writer.write(make_response(b'once'))
+
+        async def run_third(server, reader, writer):
+            await server.read_request(reader)
+            runs.append('i-2')
+            writer.write(make_response(b'twice'))
+            await writer.drain()
+
+        async with (
+            ScriptedServer(respond) as engine,
+            ScriptedServer(run_third) as third,
+            Fleet() as host,
+        ):
+            host.add(engine, 'i-0')
+            pending = asyncio.ensure_future(host.send_request('file'))
+            while not engine.received:
+                await asyncio.sleep(0.001)
+            host.add(engine, 'i-1')
+            is_known.set()
+            if has_third:
+                host.add(third, 'i-2', data_centre='far')
+            received = await pending
+        if runs[0] == 'i-1':
+            assert received.endswith(b'once')
+        assert len(runs) == 1
+
+    run_with_timeout(main)
+
+
 def test_a_second_copy_of_a_response_reaches_no_other_caller():
     copy = make_response(b'one', request_id='r0')
     first, second, other_runs = send_twice(
