Let engines of the request fuzzer restart at their address

Change: two instances share each address, and a copy of a refusal may come with the next request of its connection.

--- a/tests/edge/requests/test_request_faults.py
+++ b/tests/edge/requests/test_request_faults.py
@@ -55,7 +55,10 @@
 
 
 class Engines:
-    """Serve the steps in the order in which attempts arrive."""
+    """Serve the steps in the order in which attempts arrive.
+
+    Two instances share each address, as after a restart.
+    """
 
     def __init__(self, steps):
         self.runs = []
@@ -64,21 +67,27 @@
 
     async def script(self, server, reader, writer):
         loop = asyncio.get_running_loop()
+        late_copy = b''
         while True:
             head, _body = await server.read_request(reader)
+            writer.write(late_copy)
+            late_copy = b''
             if is_report_request(head):
-                run = self._running.get(server)
-                is_running = run is not None and loop.time() < run.ends_at
+                is_running = any(
+                    loop.time() < run.ends_at
+                    for run in self._running.get(server, ())
+                )
                 writer.write(make_report(['r1'] if is_running else []))
                 continue
             step = self._steps.pop(0) if self._steps else Step('answer')
             if step.action.startswith('refuse'):
                 copies = 2 if step.action == 'refuse twice' else 1
                 writer.write(NOT_RUN * copies)
+                late_copy = NOT_RUN if step.action == 'refuse late' else b''
                 continue
             run = Run(loop.time())
             self.runs.append(run)
-            self._running[server] = run
+            self._running.setdefault(server, []).append(run)
             is_stream = b' /stream/' in head or b' /resume/' in head
             if not await self._run(step, run, is_stream, reader, writer):
                 return
@@ -137,6 +146,7 @@
             'cut',
             'refuse',
             'refuse twice',
+            'refuse late',
             'stall',
             'stall in the answer',
         ]
@@ -179,6 +189,7 @@
             for number, server in enumerate(servers):
                 await server.__aenter__()
                 host.add(server, f'i-{number}')
+                host.add(server, f'j-{number}')
             status = await send(host, route, leaves_after_s, stops_after_s)
             await asyncio.sleep(LINGER_S)
             for server in servers:
