--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -1,10 +1,10 @@
 """Start the real program as processes and send them signals."""
 
 import asyncio
+import itertools
 import json
 import os
 import signal
-import socket
 import sys
 
 from tests.soak.links import Link
@@ -20,16 +20,14 @@
 }
 
 
-def find_ports(count):
-    """Return loopback ports that are currently free."""
-    sockets = [socket.socket() for _port in range(count)]
-    try:
-        for each in sockets:
-            each.bind((ADDRESS, 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+# Below the ports that the system assigns to sockets, on an address that belongs
+# to this run: no other socket binds a port before its process does.
+_ports = itertools.count(10_000)
+
+
+def choose_ports(count):
+    """Return loopback ports that nothing else in this run binds."""
+    return [next(_ports) for _port in range(count)]
 
 
 class Host:
@@ -43,7 +41,7 @@
         self._zone = zone
         self._folder = folder
         self._process = None
-        self._ports = find_ports(4)
+        self._ports = choose_ports(4)
 
     @property
     def port(self):
