Hold the verdict of an open attempt without a third state

Cause: read once more. "No attempt is open" was a None beside three verdicts, though NOT_RUN says the same when verdicts are combined; settle had one caller and one argument; the close by a peer was worked out at two places. The condition that brought back is dead: all errors that it excludes are TargetErrors, which another branch handles, so that changed nothing and its reason was wrong. No behaviour changes.

--- a/cassiarail/edge/requests/attempts.py
+++ b/cassiarail/edge/requests/attempts.py
@@ -6,7 +6,6 @@
 from typing import Any, TypeVar
 
 from cassiarail.core.exceptions import ConnectFailedError, ConnectionLostError
-from cassiarail.core.verdict import Verdict
 from cassiarail.edge.crashes.observer import CrashObserver
 from cassiarail.edge.dialect import AttemptParameters, Dialect, ResponseFacts
 from cassiarail.edge.registry.availability import TargetAvailability
@@ -183,7 +182,7 @@
                 loop.time(),
             )
         if facts.did_not_run:
-            job.settle(Verdict.NOT_RUN)
+            job.confirm_not_run()
             await self._discard_refusal(connection)
             return AttemptResult(Outcome.NOT_RUN, f'status {response.status}')
         if response.status not in SUCCESS_STATUSES:
--- a/cassiarail/edge/requests/jobs.py
+++ b/cassiarail/edge/requests/jobs.py
@@ -113,7 +113,8 @@
         self.splitter = EventSplitter() if route.can_resume else None
         self.tried_targets: list[Target] = []
         self.attempts: list[AttemptResult] = []
-        self._unsettled: Verdict | None = None
+        # That of an attempt that isn't recorded yet.
+        self._open_verdict = Verdict.NOT_RUN
         self.may_switch: Callable[[], bool] = _cannot_switch
         self.reservations: list[ByteReservation] = []
         self.newest = Transmission(0)
@@ -132,10 +133,8 @@
     @property
     def verdict(self) -> Verdict:
         """Return whether the request may have run so far."""
-        settled = [each.verdict for each in self.attempts]
-        if self._unsettled is not None:
-            settled.append(self._unsettled)
-        return combine_verdicts(settled)
+        recorded = (each.verdict for each in self.attempts)
+        return combine_verdicts((self._open_verdict, *recorded))
 
     @property
     def possible_runs(self) -> int:
@@ -156,16 +155,16 @@
 
     def begin_attempt(self) -> None:
         """Count the request as possibly running, before any byte is sent."""
-        self._unsettled = Verdict.MAY_HAVE_RUN
+        self._open_verdict = Verdict.MAY_HAVE_RUN
 
-    def settle(self, verdict: Verdict) -> None:
-        """Store what the head of a response says of the attempt."""
-        self._unsettled = verdict
+    def confirm_not_run(self) -> None:
+        """Record that the target has stated that nothing ran."""
+        self._open_verdict = Verdict.NOT_RUN
 
     def record_attempt(self, attempt_result: AttemptResult) -> None:
-        """Store how an attempt ended; only this ends its verdict so far."""
+        """Store how an attempt ended; its own verdict counts from now on."""
         self.attempts.append(attempt_result)
-        self._unsettled = None
+        self._open_verdict = Verdict.NOT_RUN
 
     def release_memory(self) -> None:
         """Give back the memory of the responses that targets sent."""
--- a/cassiarail/edge/requests/runs.py
+++ b/cassiarail/edge/requests/runs.py
@@ -152,7 +152,7 @@
             )
         except ConnectFailedError as error:
             # A target may refuse new connections and still finish its runs.
-            if isinstance(error.__cause__, asyncio.TimeoutError):
+            if isinstance(error.__cause__, TimeoutError):
                 return RunState.UNREACHABLE
             return RunState.UNKNOWN
         except ConnectionLostError:
--- a/cassiarail/gateway/completions.py
+++ b/cassiarail/gateway/completions.py
@@ -184,9 +184,8 @@
             if isinstance(error, ConnectionLostError):
                 await guard.on_crash(run)
             raise
-        except BaseException as error:
-            if not _excludes_running_stream(error):
-                self._cancel_later(target, hop)
+        except BaseException:
+            self._cancel_later(target, hop)
             raise
         else:
             await guard.on_success(run)
@@ -339,7 +338,7 @@
         await self._deliver(block)
 
 
-def _excludes_running_stream(error: BaseException) -> bool:
+def _excludes_running_stream(error: TargetError) -> bool:
     """Return whether an error excludes that the engine runs the stream."""
     return isinstance(
         error,
--- a/cassiarail/http1/connections.py
+++ b/cassiarail/http1/connections.py
@@ -70,8 +70,7 @@
         """Pass the end of the server's data to the parser."""
         if self._is_busy:
             self._parser.receive_data(b'')
-        self.is_closed_by_peer = self.is_closed_by_peer or not self.is_closed
-        self.is_closed = True
+        self._record_close_by_peer()
         self._wake()
         return False
 
@@ -80,8 +79,8 @@
         if error is not None or self._error is None:
             self._error = repr(error) if error else 'closed by the server'
         # A path that is lost says nothing of the server.
-        if not (self.is_closed or isinstance(error, TimeoutError)):
-            self.is_closed_by_peer = True
+        if not isinstance(error, TimeoutError):
+            self._record_close_by_peer()
         self.is_closed = True
         self._wake()
         self._on_closed(self)
@@ -235,6 +234,11 @@
         """Read a short body to its end and discard it."""
         await self.read_body(_MAX_DISCARDED_BYTES)
 
+    def _record_close_by_peer(self) -> None:
+        if not self.is_closed:
+            self.is_closed_by_peer = True
+        self.is_closed = True
+
     def _fail(self, reason: str) -> ConnectionLostError:
         self.abort(reason)
         return ConnectionLostError(reason)
