Find the client account of each request by its key

Cause: nothing on the request path knew a client account. Keys were passed on to engines, requests with unknown keys ran, and a service that adds a fourth figure to its load lost all of its load reports.

Change: security/accounts.py holds accounts and their quotas, KeyRing serves the gateway and the edge, RequestAdmission answers 401 to an unknown key once a configuration is known. Targets get the account's name and never the key; the account's rank has precedence. Further figures of a load or a token count hide none of the others; the slowdown of the target's machine is decoded. RequestParts takes the building of the request path out of EdgeProcess.

--- a/cassiarail/edge/crashes/observer.py
+++ b/cassiarail/edge/crashes/observer.py
@@ -74,7 +74,7 @@
                 target,
                 job.shared_parts,
                 now - job.newest.sent_at,
-                job.route.rank,
+                job.rank,
             )
 
     def record_answer(self, parts: Collection[str]) -> None:
--- a/cassiarail/edge/dialect.py
+++ b/cassiarail/edge/dialect.py
@@ -20,7 +20,9 @@
     """Hold the decoded head of a caller's request.
 
     ``client_timeout_s`` is how long the client waits. ``variant`` is ``None``
-    for plain services. ``output_tokens`` is the maximum output length.
+    for plain services. ``output_tokens`` is the maximum output length, and
+    ``length_hint`` the caller's estimate of the output, in tokens. ``key`` is
+    the caller's API key; it is never logged or passed on.
     """
 
     request_id: str
@@ -31,26 +33,36 @@
     prompt_tokens: int
     output_tokens: int
     prefix_parts: tuple[str, ...]
+    length_hint: int | None = None
+    part_tokens: tuple[int, ...] = ()
+    key: str | None = None
 
 
 class AttemptParameters(NamedTuple):
     """Hold what is sent to a target in addition to the caller's headers.
 
     ``resume_after`` is the id of the last event that the caller has.
+    ``account`` is the name of the request's client account, if it has one.
     """
 
     instance: str
     time_left_s: float
     rank: int | None
     resume_after: str | None = None
+    account: str | None = None
 
 
 class ReportedLoad(NamedTuple):
-    """Hold the request counts that a target reported."""
+    """Hold the request counts that a target reported.
+
+    ``slowdown`` is how many times longer than usual work takes on the
+    target's machine at the moment, or ``None`` if the target doesn't say.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class ResponseFacts(NamedTuple):
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -6,8 +6,7 @@
 
 from prometheus_client import CollectorRegistry
 
-from cassiarail.conf.edge import EdgeSettings, read_retry_rules
-from cassiarail.conf.global_defaults import TARGET_CONNECT_TIMEOUT_S
+from cassiarail.conf.edge import EdgeSettings
 from cassiarail.core.clock import BootClock
 from cassiarail.core.lifecycle import Application, Component
 from cassiarail.edge.control import ControlDependencies, ControlParts
@@ -16,19 +15,11 @@
 from cassiarail.edge.registry.configuration import CurrentConfiguration
 from cassiarail.edge.registry.parts import RegistryParts
 from cassiarail.edge.registry.targets import TargetDirectory
-from cassiarail.edge.requests.attempts import AttemptRunner
-from cassiarail.edge.requests.caller_listener import CallerListener, DrainRules
-from cassiarail.edge.requests.forwarding import Forwarder, ForwardingParts
-from cassiarail.edge.requests.load_times import LoadTimeEstimator
-from cassiarail.edge.requests.memory import build_request_memory
-from cassiarail.edge.requests.runs import RunMonitor
-from cassiarail.edge.requests.selection import TargetSelector
+from cassiarail.edge.requests.caller_listener import DrainRules
+from cassiarail.edge.requests.parts import RequestDependencies, RequestParts
 from cassiarail.edge.status import MetricsListener, ReadinessListener
 from cassiarail.edge.upkeep import SettingsWatch, Upkeep
-from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
-from cassiarail.limits.service_budgets import ServiceBudgets
-from cassiarail.routing.earliest import EarliestStartSelector
-from cassiarail.routing.outliers import OutlierDetector, OutlierRules
+from cassiarail.http1.pool import Address
 from cassiarail.routing.reachability import ReachabilityTracker
 from cassiarail.store.backends.base import ObjectStore
 from cassiarail.store.monitor import Checkable
@@ -38,11 +29,6 @@
 # Requests that are still in progress after this share of the stop time are
 # aborted, so that their error responses can still be sent.
 _STOP_SHARE = 0.92
-# Consecutive failures that eject a target, and for how long. At most half of
-# a service's targets are ejected.
-_EJECTION_S = 2.0
-_EJECTED_SHARE = 0.5
-_EJECTION_RULES = OutlierRules(3, _EJECTION_S, _EJECTED_SHARE)
 
 
 class EdgeDependencies(NamedTuple):
@@ -73,7 +59,6 @@
         self._configuration = CurrentConfiguration()
         self._directory = TargetDirectory(self._clock.monotonic)
         self._reachability = ReachabilityTracker(self._clock)
-        self._earliest_selector = EarliestStartSelector(self._generator)
         self._store = ObservedStore(
             dependencies.store,
             dependencies.checkable,
@@ -101,7 +86,21 @@
             self._clock,
             self._generator,
         )
-        self._build_forwarding()
+        self._requests = RequestParts(
+            RequestDependencies(
+                settings,
+                dependencies.dialect,
+                self._configuration,
+                self._directory,
+                self._reachability,
+                self._control,
+                self._metrics,
+            ),
+            self._clock,
+            self._generator,
+            self._read_drain_rules,
+        )
+        self._caller_listener = self._requests.listener
         self._control.is_stopping = lambda: self._caller_listener.is_draining
         self.application = Application(
             'edge',
@@ -118,72 +117,6 @@
             and self._registry_parts.watches.is_listed
         )
 
-    def _build_forwarding(self) -> None:
-        clock = self._clock
-        self._pool = ConnectionPool(PoolRules(TARGET_CONNECT_TIMEOUT_S))
-        self._memory = build_request_memory(self._settings)
-        self._outliers = OutlierDetector(
-            clock,
-            self._list_service_instances,
-            self._can_eject,
-            _EJECTION_RULES,
-        )
-        self._budgets = ServiceBudgets(
-            clock,
-            read_retry_rules(self._settings),
-            self._control.count_hosts,
-        )
-        selector = TargetSelector(
-            self._directory,
-            self._earliest_selector,
-            self._outliers,
-            self._reachability,
-            self._settings['data_centre'],
-            self._control.availability.holds,
-        )
-        self._forwarder = Forwarder(
-            ForwardingParts(
-                dialect=self._dependencies.dialect,
-                configuration=self._configuration,
-                selector=selector,
-                runner=AttemptRunner(
-                    self._pool,
-                    self._dependencies.dialect,
-                    self._earliest_selector,
-                    self._reachability,
-                    self._control.availability,
-                    self._control.crashes.build_observer(
-                        self._directory, self._pool.connect
-                    ),
-                    self._memory.responses,
-                ),
-                runs=RunMonitor(self._dependencies.dialect, clock),
-                outliers=self._outliers,
-                waits=self._control.waits,
-                demand=self._control.demand_meter,
-                suspects=self._control.suspects,
-                quarantines=self._control.crashes.quarantines,
-                metrics=self._metrics,
-                claim_probe=self._control.crashes.keeper.claim_probe,
-                budget_of=self._budgets.of_service,
-                estimate_load_s=LoadTimeEstimator(
-                    self._directory,
-                    self._configuration,
-                    self._control.presence,
-                ).estimate,
-                clock=clock,
-            ),
-        )
-        self._caller_listener = CallerListener(
-            Address.parse(self._settings['callers']),
-            self._forwarder,
-            self._configuration,
-            self._metrics,
-            clock,
-            self._read_drain_rules,
-            self._memory.clients,
-        )
-
     def _build_components(self, path: pathlib.Path) -> list[Component]:
         readiness = self._settings['readiness']
         metrics = self._settings['metrics']
@@ -193,7 +126,7 @@
             Upkeep(
                 self._clock,
                 [
-                    self._pool.sweep,
+                    self._requests.pool.sweep,
                     self._control.order_pool.sweep,
                     self._registry_parts.targets.expire,
                     self._control.traffic.log_traffic,
@@ -218,26 +151,13 @@
 
     def _on_directory_change(self) -> None:
         instances = frozenset(target.instance for target in self._directory)
-        self._earliest_selector.retain(instances)
-        self._outliers.retain(instances)
+        self._requests.retain(instances)
         identities = [target.identity for target in self._directory]
         self._reachability.retain(identities)
         self._control.availability.holds.retain(identities)
         self._control.waits.wake()
         self._control.leader.wake()
 
-    def _list_service_instances(self, instance: str) -> list[str]:
-        target = self._directory.get(instance)
-        if target is None:
-            return []
-        return [
-            each.instance for each in self._directory.of_service(target.service)
-        ]
-
-    def _can_eject(self, _instance: str) -> bool:
-        # Ejected targets are still used if no other target holds a model.
-        return True
-
     def _read_drain_rules(self) -> DrainRules:
         return DrainRules(
             self._settings['bounds']['stop_s'] * _STOP_SHARE,
@@ -248,14 +168,14 @@
         self._metrics.quarantines.set(
             len(self._control.crashes.quarantines.all)
         )
-        self._memory.refresh(self._metrics)
+        self._requests.refresh_metrics()
         self._metrics.dropped_lines.set(self._log_writer.dropped)
 
     def _reconnect_after_suspension(self) -> None:
-        self._pool.close_idle()
+        self._requests.pool.close_idle()
         self._control.order_pool.close_idle()
         self._registry_parts.watches.reconnect()
 
     def _apply(self, settings: EdgeSettings) -> None:
         self._settings = settings
-        self._budgets.change_rules(read_retry_rules(settings))
+        self._requests.change_settings(settings)
--- a/cassiarail/edge/registry/configuration.py
+++ b/cassiarail/edge/registry/configuration.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cassiarail.http1.assembly import ClientLimits
+from cassiarail.security.accounts import AccountDirectory
 
 
 class RouteKind(enum.Enum):
@@ -29,7 +30,8 @@
     ``rank`` is the priority, 0 first. ``attempts`` is the maximum number of
     targets at which one request may run. ``objective_s`` is the target time
     to the response, or to the first event of a stream; ``pause_s`` is the
-    longest pause between events that still meets the objective.
+    longest pause between events that still meets the objective. Requests of a
+    route that ``is_anonymous`` need no key.
     """
 
     name: str
@@ -43,6 +45,7 @@
     attempts: int
     can_resume: bool
     pause_s: float
+    is_anonymous: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -100,12 +103,13 @@
 
 
 class Configuration(NamedTuple):
-    """Hold one version of all routes and services."""
+    """Hold one version of all routes, services and client accounts."""
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: ClientLimits
+    accounts: AccountDirectory = AccountDirectory()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix."""
--- a/cassiarail/edge/requests/attempts.py
+++ b/cassiarail/edge/requests/attempts.py
@@ -167,8 +167,9 @@
         attempt = AttemptParameters(
             instance=target.instance,
             time_left_s=job.deadline - loop.time(),
-            rank=job.route.rank if job.route.is_stream else None,
+            rank=job.rank if job.route.is_stream else None,
             resume_after=job.splitter.last_id if job.splitter else None,
+            account=job.account_name,
         )
         head = self._dialect.encode_attempt(job.exchange.head, attempt)
         job.newest = Transmission(loop.time())
--- a/cassiarail/edge/requests/forwarding.py
+++ b/cassiarail/edge/requests/forwarding.py
@@ -10,7 +10,6 @@
 from cassiarail.core.exceptions import RequestError
 from cassiarail.core.verdict import Verdict
 from cassiarail.edge.crashes.quarantines import Quarantines
-from cassiarail.edge.dialect import Dialect
 from cassiarail.edge.events import (
     REQUEST_CRASHED,
     REQUEST_REFUSED,
@@ -18,11 +17,12 @@
 )
 from cassiarail.edge.fleet.demand import DemandMeter
 from cassiarail.edge.metrics import EdgeMetrics
-from cassiarail.edge.registry.configuration import (
-    CurrentConfiguration,
-    EngineType,
-)
+from cassiarail.edge.registry.configuration import EngineType
 from cassiarail.edge.registry.targets import ModelVariant, Target
+from cassiarail.edge.requests.admission import (
+    RETRY_UNCONFIGURED_S,
+    RequestAdmission,
+)
 from cassiarail.edge.requests.attempts import AttemptRunner
 from cassiarail.edge.requests.deadlines import Deadlines
 from cassiarail.edge.requests.durations import DurationEstimator
@@ -52,8 +52,6 @@
 _RETRY_AFTER_S = 0.3
 # Time to detect an unreachable target and load its models elsewhere.
 _RETRY_UNREACHABLE_S = 1.2
-# A host without a configuration requests it several times a second.
-_RETRY_UNCONFIGURED_S = 1.0
 # Reserved for the network round trip to the target when a request waits.
 _NETWORK_MARGIN_S = 0.1
 _WAIT_SHARE = 0.8
@@ -67,8 +65,7 @@
 class ForwardingParts(NamedTuple):
     """Hold the dependencies of the forwarding path."""
 
-    dialect: Dialect
-    configuration: CurrentConfiguration
+    admission: RequestAdmission
     selector: TargetSelector
     runner: AttemptRunner
     runs: RunMonitor
@@ -127,20 +124,10 @@
             await self._serve(job)
 
     def _admit(self, exchange: Exchange) -> Job:
-        configuration = self._parts.configuration.current
-        if configuration is None:
-            raise Refusal(
-                http.HTTPStatus.SERVICE_UNAVAILABLE,
-                'no configuration is known yet',
-                _RETRY_UNCONFIGURED_S,
-            )
-        request = self._parts.dialect.decode_request(exchange.head)
-        route = configuration.find_route(request.host, request.path)
-        if route is None:
-            raise Refusal(http.HTTPStatus.NOT_FOUND, 'no route')
+        job = self._parts.admission.admit(exchange)
         if not self.accepts_new:
             raise build_stop_refusal()
-        return Job(exchange, request, configuration, route)
+        return job
 
     async def _serve(self, job: Job) -> None:
         ending = 'caller left'
@@ -362,7 +349,7 @@
             raise Refusal(
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
                 'the model is not configured',
-                _RETRY_UNCONFIGURED_S,
+                RETRY_UNCONFIGURED_S,
             )
         return self._parts.estimate_load_s(job.service.name, variant)
 
--- a/cassiarail/edge/requests/jobs.py
+++ b/cassiarail/edge/requests/jobs.py
@@ -17,6 +17,7 @@
 from cassiarail.http1.exchanges import Exchange, ResponseProgress
 from cassiarail.http1.messages import Headers
 from cassiarail.limits.byte_budget import ByteReservation
+from cassiarail.security.accounts import ClientAccount
 
 TrySwitch = Callable[[asyncio.Future[Any]], Awaitable[bool]]
 _DIGEST_BYTES = 12
@@ -110,11 +111,14 @@
         request: CallerRequest,
         configuration: Configuration,
         route: Route,
+        account: ClientAccount | None = None,
     ) -> None:
         self.exchange = exchange
         self.request = request
         self.configuration_version = configuration.version
         self.route = route
+        self._account = account
+        self._has_accounts = bool(configuration.accounts)
         service_name = route.pick_service(request.request_id)
         self.service: Service = configuration.services.get(
             service_name,
@@ -135,6 +139,29 @@
         self.timeline = Timeline(exchange.received_at)
         self._shared_parts = _find_shared_parts(request.prefix_parts)
 
+    @property
+    def rank(self) -> int:
+        """Return the priority, 0 first; that of the account has precedence."""
+        if self._account is None or self._account.rank is None:
+            return self.route.rank
+        return self._account.rank
+
+    @property
+    def account(self) -> ClientAccount | None:
+        """Return the client account whose request it is, if any."""
+        return self._account
+
+    @property
+    def account_name(self) -> str | None:
+        """Return the name to state to targets.
+
+        It is empty for a request without account, and ``None`` if the
+        configuration has no accounts at all.
+        """
+        if self._account is not None:
+            return self._account.name
+        return '' if self._has_accounts else None
+
     @property
     def shared_parts(self) -> tuple[str, ...]:
         """Return the parts of the prompt that other requests may share."""
--- a/cassiarail/gateway/directory.py
+++ b/cassiarail/gateway/directory.py
@@ -53,7 +53,11 @@
         self._services = {
             service['name']: service for service in document['services']
         }
-        self.key_ring = KeyRing(document['callers'])
+        self.key_ring = KeyRing(
+            (digest, caller)
+            for caller in document['callers']
+            for digest in caller['key_digests']
+        )
 
     def find_model(
         self,
--- a/cassiarail/gateway/endpoints.py
+++ b/cassiarail/gateway/endpoints.py
@@ -160,7 +160,7 @@
         key = parse_bearer(call.headers.get('authorization'))
         if key is None:
             raise UnauthenticatedError('the request has no key')
-        caller = directory.key_ring.find_caller(key)
+        caller = directory.key_ring.find_owner(key)
         if caller is None:
             raise UnauthenticatedError('the key is unknown')
         return caller, directory
--- a/cassiarail/platform/dialect.py
+++ b/cassiarail/platform/dialect.py
@@ -25,9 +25,13 @@
     strip_hop_headers,
 )
 from cassiarail.platform import documents, headers
+from cassiarail.security.keys import parse_bearer
 
 _MS = 1000
 _SECONDS = re.compile(r'[0-9]{1,12}(\.[0-9]{0,9})?')
+_COUNT = re.compile('[0-9]{1,9}')
+_LOAD_COUNTS = 3
+_PERCENT = 100
 _LOWEST_PRIORITY = 9
 _HOST_HEADER = (b'host', b'engine')
 
@@ -51,6 +55,9 @@
             prompt_tokens=prompt,
             output_tokens=output,
             prefix_parts=_parse_prefix(head),
+            part_tokens=_parse_part_tokens(head),
+            length_hint=_parse_length_hint(head),
+            key=parse_bearer(find_header(head.headers, headers.AUTHORIZATION)),
         )
 
     def encode_attempt(
@@ -58,8 +65,13 @@
         head: RequestHead,
         attempt: AttemptParameters,
     ) -> RequestHead:
-        """Return the head with the instance, time left and priority added."""
+        """Return the head with what the system sets itself.
+
+        Without client accounts, an authorization header is the target's.
+        """
         dropped_names = headers.RESERVED
+        if attempt.account is not None:
+            dropped_names = dropped_names | {headers.AUTHORIZATION}
         if attempt.resume_after is not None:
             dropped_names = dropped_names | {headers.LAST_EVENT_ID}
         forwarded = [
@@ -70,6 +82,8 @@
         time_left_ms = max(1, int(attempt.time_left_s * _MS))
         forwarded.append((headers.DEADLINE_MS, b'%d' % time_left_ms))
         forwarded.append((headers.EXPECT_INSTANCE, attempt.instance.encode()))
+        if attempt.account:
+            forwarded.append((headers.TENANT, attempt.account.encode()))
         if attempt.rank is not None:
             rank = min(_LOWEST_PRIORITY, max(0, attempt.rank))
             forwarded.append((headers.PRIORITY, b'%d' % rank))
@@ -169,8 +183,9 @@
 
 
 def _parse_token_count(head: RequestHead) -> tuple[int, int]:
+    """Return both counts; figures after them are ignored."""
     text = find_header(head.headers, headers.TOKEN_COUNT) or '0,0'
-    prompt, _, output = text.partition(',')
+    prompt, output, *_rest = [*text.split(','), '']
     try:
         return int(prompt), int(output or 0)
     except ValueError as error:
@@ -182,6 +197,20 @@
     return tuple(part.partition(':')[0] for part in text.split(',') if part)
 
 
+def _parse_part_tokens(head: RequestHead) -> tuple[int, ...]:
+    """Return the tokens of each part of the prompt; 0 if they aren't stated."""
+    text = find_header(head.headers, headers.PROMPT_PREFIX) or ''
+    counts = (part.partition(':')[2] for part in text.split(',') if part)
+    return tuple(
+        int(count) if _COUNT.fullmatch(count) else 0 for count in counts
+    )
+
+
+def _parse_length_hint(head: RequestHead) -> int | None:
+    text = find_header(head.headers, headers.LENGTH_HINT) or ''
+    return int(text) if _COUNT.fullmatch(text) else None
+
+
 def _parse_leaving(head: ResponseHead) -> bool:
     text = find_header(head.headers, headers.SERVER_LEAVING) or ''
     return text.strip() == '1'
@@ -201,12 +230,24 @@
 
 
 def _parse_load(text: str | None) -> ReportedLoad | None:
+    """Return the load; figures after those that are known are ignored."""
     if text is None:
         return None
+    figures = text.split(',')
     try:
-        running, waiting, slots = (int(part) for part in text.split(','))
+        running, waiting, slots = (int(part) for part in figures[:_LOAD_COUNTS])
     except ValueError:
         # Without a usable report, this host's own count of requests is the
         # target's load.
         return None
-    return ReportedLoad(running, waiting, slots)
+    return ReportedLoad(running, waiting, slots, _parse_slowdown(figures))
+
+
+def _parse_slowdown(figures: list[str]) -> float | None:
+    """Return the fourth figure, a percentage of the usual time of work."""
+    if len(figures) <= _LOAD_COUNTS:
+        return None
+    text = figures[_LOAD_COUNTS].strip()
+    if not _SECONDS.fullmatch(text):
+        return None
+    return float(text) / _PERCENT or None
--- a/cassiarail/platform/headers.py
+++ b/cassiarail/platform/headers.py
@@ -5,6 +5,9 @@
 MODEL = b'x-cassiarail-model'
 TOKEN_COUNT = b'x-cassiarail-token-count'
 PROMPT_PREFIX = b'x-cassiarail-prompt-prefix'
+LENGTH_HINT = b'x-cassiarail-length-hint'
+AUTHORIZATION = b'authorization'
+TENANT = b'x-cassiarail-tenant'
 EXPECT_INSTANCE = b'x-cassiarail-expect-instance'
 PRIORITY = b'x-cassiarail-req-priority'
 LAST_EVENT_ID = b'last-event-id'
@@ -22,6 +25,7 @@
         DEADLINE_MS,
         EXPECT_INSTANCE,
         PRIORITY,
+        TENANT,
         b'x-cassiarail-expect-version',
         b'x-cassiarail-hold',
         b'x-cassiarail-pin-ms',
--- a/cassiarail/security/keys.py
+++ b/cassiarail/security/keys.py
@@ -2,9 +2,10 @@
 
 import hashlib
 import hmac
-from collections.abc import Sequence
+from collections.abc import Iterable
+from typing import Generic, TypeVar
 
-from cassiarail.declarations.schema import CallerDocument
+_Owner = TypeVar('_Owner')
 
 _DIGEST_PREFIX = 'sha256:'
 _BEARER_SCHEME = 'bearer'
@@ -24,25 +25,24 @@
     return stripped
 
 
-class KeyRing:
-    """Hold the digests of all callers' keys."""
+class KeyRing(Generic[_Owner]):
+    """Hold the digests of all callers' keys, but none of the keys."""
 
-    def __init__(self, callers: Sequence[CallerDocument]) -> None:
+    def __init__(self, entries: Iterable[tuple[str, _Owner]]) -> None:
+        """Take pairs of a key's digest and the owner of the key."""
         self._entries = [
-            (digest.lower().encode(), caller)
-            for caller in callers
-            for digest in caller['key_digests']
+            (digest.lower().encode(), owner) for digest, owner in entries
         ]
 
-    def find_caller(self, key: str) -> CallerDocument | None:
-        """Return the caller of a key, or ``None``.
+    def find_owner(self, key: str) -> _Owner | None:
+        """Return the owner of a key, or ``None``.
 
         Every digest is compared in constant time, without stopping at the one
         that matches, so that the time taken reveals nothing about the keys.
         """
         presented_digest = compute_key_digest(key).encode()
         found = None
-        for digest, caller in self._entries:
+        for digest, owner in self._entries:
             if hmac.compare_digest(digest, presented_digest):
-                found = caller
+                found = owner
         return found
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -24,6 +24,7 @@
     ServiceShare,
 )
 from cassiarail.edge.registry.targets import Holdings, Target, TargetDirectory
+from cassiarail.edge.requests.admission import RequestAdmission
 from cassiarail.edge.requests.attempts import AttemptRunner
 from cassiarail.edge.requests.forwarding import Forwarder, ForwardingParts
 from cassiarail.edge.requests.runs import RunMonitor
@@ -125,8 +126,7 @@
         self.client_memory = build_client_memory()
         self.forwarder = Forwarder(
             ForwardingParts(
-                dialect,
-                self.current_configuration,
+                RequestAdmission(dialect, self.current_configuration),
                 TargetSelector(
                     self.directory,
                     earliest_selector,
--- a/tests/security/test_keys.py
+++ b/tests/security/test_keys.py
@@ -6,22 +6,17 @@
 
 
 def _caller(name, *keys):
-    return {
-        'name': name,
-        'key_digests': [compute_key_digest(key) for key in keys],
-        'models': [],
-        'services': [],
-    }
+    return [(compute_key_digest(key), name) for key in keys]
 
 
 def test_a_caller_is_found_only_by_its_own_keys():
     """Both keys work during a rotation; a digest is not accepted as a key."""
-    key_ring = KeyRing([_caller('a', 'old', 'new'), _caller('b', 'other')])
-    assert key_ring.find_caller('old')['name'] == 'a'
-    assert key_ring.find_caller('new')['name'] == 'a'
-    assert key_ring.find_caller('other')['name'] == 'b'
-    assert key_ring.find_caller(compute_key_digest('old')) is None
-    assert key_ring.find_caller('') is None
+    key_ring = KeyRing([*_caller('a', 'old', 'new'), *_caller('b', 'other')])
+    assert key_ring.find_owner('old') == 'a'
+    assert key_ring.find_owner('new') == 'a'
+    assert key_ring.find_owner('other') == 'b'
+    assert key_ring.find_owner(compute_key_digest('old')) is None
+    assert key_ring.find_owner('') is None
 
 
 @pytest.mark.parametrize(
