Send the configuration to hosts that can't read it from the store

Cause: a host that was cut off from the store but not from the other hosts went on serving keys that had been taken away.

Change: demand reports state the version that a host applies; the leader sends a compressed copy of a newer configuration with client accounts, at most one a second to each host. ControlDependencies has a module of its own.

--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -2,16 +2,12 @@
 
 import random
 from collections.abc import Callable
-from typing import NamedTuple
 
-from prometheus_client import CollectorRegistry
-
-from cassiarail.conf.edge import EdgeSettings
 from cassiarail.conf.global_defaults import TARGET_CONNECT_TIMEOUT_S
 from cassiarail.core.clock import Clock
 from cassiarail.core.lifecycle import Component
 from cassiarail.edge.crashes.parts import CrashParts
-from cassiarail.edge.dialect import Dialect
+from cassiarail.edge.dependencies import ControlDependencies
 from cassiarail.edge.engines.leader import LeaderParts, PlacementLeader
 from cassiarail.edge.engines.orders import (
     ORDER_TIMEOUT_S,
@@ -28,15 +24,11 @@
 from cassiarail.edge.fleet.state_updates import StateUpdateReceiver
 from cassiarail.edge.fleet.traffic import PeerTraffic, TrafficRules
 from cassiarail.edge.registry.availability import TargetAvailability
-from cassiarail.edge.registry.configuration import CurrentConfiguration
-from cassiarail.edge.registry.targets import TargetDirectory
 from cassiarail.edge.requests.suspects import CrashSuspects
 from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.routing.holds import TargetHolds
-from cassiarail.routing.reachability import ReachabilityTracker
 from cassiarail.store.leases import ORDERS_LEASE, Lease
-from cassiarail.store.observed import ObservedStore
 from cassiarail.store.writes import ConditionalWriter
 
 _LEASE_S = 2.4
@@ -51,18 +43,6 @@
 _DEFAULT_HOST_COUNT = 16
 
 
-class ControlDependencies(NamedTuple):
-    """Hold the objects that control shares with the forwarding path."""
-
-    settings: EdgeSettings
-    dialect: Dialect
-    store: ObservedStore
-    configuration: CurrentConfiguration
-    directory: TargetDirectory
-    reachability: ReachabilityTracker
-    registry: CollectorRegistry
-
-
 class ControlParts:
     """Own demand, presence, the lease and the placement leader."""
 
@@ -162,7 +142,7 @@
                 lambda: self.store_contact_s(),
                 self._hosts.list_current,
                 self.traffic,
-                self._dependencies.configuration.get_version,
+                self._dependencies.copies,
             ),
             clock,
         )
--- a/cassiarail/edge/events.py
+++ b/cassiarail/edge/events.py
@@ -212,6 +212,11 @@
     level=logging.WARNING,
     summary='lease could not be acquired or renewed; trying again',
 )
+CONFIGURATION_COPY_TOO_LONG = define_event(
+    number=4206,
+    level=logging.WARNING,
+    summary='configuration is too long to be sent to hosts without the store',
+)
 ABANDONED_RESPONSE_LOST = define_event(
     number=2106,
     level=logging.INFO,
--- a/cassiarail/edge/fleet/messages.py
+++ b/cassiarail/edge/fleet/messages.py
@@ -95,6 +95,7 @@
     time of sending by the host's monotonic clock; it is set if the host
     requests a reply. ``leaving`` lists the targets that accept no requests.
     ``members`` identifies the list of hosts that the host has, or is 0.
+    ``configuration`` is the version that the host applies, or 0.
     """
 
     host: str
@@ -106,6 +107,7 @@
     sent_at: float = 0
     leaving: list[tuple[str, int]] = []
     members: int = 0
+    configuration: int = 0
 
 
 class EngineRow(msgspec.Struct, array_like=True):
@@ -206,6 +208,13 @@
         return bool(self.engines or self.targets or self.gone)
 
 
+class ConfigurationCopy(msgspec.Struct, tag='configuration'):
+    """Carry a configuration; ``document`` is compressed JSON."""
+
+    version: int
+    document: bytes
+
+
 class Relay(msgspec.Struct, tag='relay'):
     """Carry a datagram that the receiver handles and forwards."""
 
@@ -213,7 +222,7 @@
     addresses: list[str]
 
 
-Message = DemandReport | StateUpdate | CrashReport | Relay
+Message = DemandReport | StateUpdate | CrashReport | ConfigurationCopy | Relay
 _decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
--- a/cassiarail/edge/fleet/presence.py
+++ b/cassiarail/edge/fleet/presence.py
@@ -11,12 +11,14 @@
 from cassiarail.edge.fleet.applied_rows import apply_rows
 from cassiarail.edge.fleet.broadcast import Broadcaster, Host
 from cassiarail.edge.fleet.changes import ChangeLog
+from cassiarail.edge.fleet.configuration_copies import ConfigurationCopies
 from cassiarail.edge.fleet.demand import DemandMeter
 from cassiarail.edge.fleet.election import LeaderElection
 from cassiarail.edge.fleet.entry_digest import EntryDigest
 from cassiarail.edge.fleet.fleet_demand import FleetDemand, build_demand_rows
 from cassiarail.edge.fleet.members import MemberAnnouncer, MemberList
 from cassiarail.edge.fleet.messages import (
+    ConfigurationCopy,
     CrashReport,
     DemandReport,
     EngineRow,
@@ -64,7 +66,6 @@
 
     ``store_contact_s`` returns the age of what this host knows of the store,
     or a negative number if nothing has been listed yet.
-    ``get_configuration_version`` returns the version that is applied.
     """
 
     meter: DemandMeter
@@ -78,7 +79,7 @@
     store_contact_s: Callable[[], float]
     list_hosts: Callable[[], Iterable[Host]]
     traffic: PeerTraffic
-    get_configuration_version: Callable[[], int]
+    configurations: ConfigurationCopies
 
 
 class Presence(Component):
@@ -102,6 +103,7 @@
         self._clock = clock
         self._link = link
         link.on_message = self.handle_message
+        parts.configurations.connect(link.send)
         self._changes = ChangeLog(
             parts.directory,
             self._is_leader,
@@ -208,6 +210,10 @@
         if isinstance(message, Relay):
             self._link.relay(message.datagram, message.addresses, sender)
             return
+        if isinstance(message, ConfigurationCopy):
+            if self._parts.configurations.receive(message):
+                self.report_soon()
+            return
         if isinstance(message, CrashReport):
             self._parts.crash_exchange.receive(message, sender)
             return
@@ -233,8 +239,10 @@
         broadcaster.record_contact(sender)
         self._parts.crash_exchange.peers.record(sender)
         self._announcer.record_digest(report.members)
-        if report.sent_at and self._is_leader():
-            self._reply(report, sender)
+        if self._is_leader():
+            self._parts.configurations.answer(report, sender)
+            if report.sent_at:
+                self._reply(report, sender)
         is_busy = self._parts.traffic.delay_s() > _MAX_LINK_DELAY_S
         if is_busy or not (self._is_leader() and report.is_behind):
             return
@@ -305,6 +313,7 @@
             self._clock.monotonic() if receiver.needs_reply else 0,
             self._parts.directory.list_leaving(),
             self._members.digest,
+            self._parts.configurations.get_version(),
         )
 
     def _send_state_updates(self, *, is_regular: bool) -> None:
@@ -316,7 +325,7 @@
         changes = self._changes.pop(_MAX_ROWS)
         self.leader.wake()
         self._set_expected(self.leader.list_expected())
-        version = self._parts.get_configuration_version()
+        version = self._parts.configurations.get_version()
         has_rows = engines or changes.targets or changes.removed
         if is_regular or has_rows or version != self._sent_configuration:
             self._sent_configuration = version
@@ -349,7 +358,7 @@
             self._parts.directory.list_leaving(),
             self._clock.monotonic(),
             self._digest.compute() if self._changes.is_empty else 0,
-            self._parts.get_configuration_version(),
+            self._parts.configurations.get_version(),
         )
 
     def _contact_s(self) -> float:
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -9,8 +9,10 @@
 from cassiarail.conf.edge import EdgeSettings
 from cassiarail.core.clock import BootClock
 from cassiarail.core.lifecycle import Application, Component
-from cassiarail.edge.control import ControlDependencies, ControlParts
+from cassiarail.edge.control import ControlParts
+from cassiarail.edge.dependencies import ControlDependencies
 from cassiarail.edge.dialect import Dialect
+from cassiarail.edge.fleet.configuration_copies import ConfigurationCopies
 from cassiarail.edge.metrics import EdgeMetrics
 from cassiarail.edge.registry.configuration import CurrentConfiguration
 from cassiarail.edge.registry.parts import RegistryParts
@@ -70,6 +72,9 @@
             dependencies.dialect,
             self._store,
             self._configuration,
+            ConfigurationCopies(
+                self._configuration, dependencies.dialect, self._clock
+            ),
             self._directory,
             self._reachability,
             self._registry,
--- a/cassiarail/edge/registry/followers.py
+++ b/cassiarail/edge/registry/followers.py
@@ -1,6 +1,7 @@
 """Apply the targets and the configuration from the store."""
 
 from collections.abc import Callable
+from typing import Any
 
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import RequestError
@@ -12,7 +13,10 @@
     TARGET_ADDED,
     TARGET_LEAVING,
 )
-from cassiarail.edge.registry.configuration import CurrentConfiguration
+from cassiarail.edge.registry.configuration import (
+    Configuration,
+    CurrentConfiguration,
+)
 from cassiarail.edge.registry.targets import Target, TargetDirectory
 from cassiarail.store.backends.base import Listing, StoredObject, WatchBatch
 from cassiarail.store.watching import Follower
@@ -118,8 +122,9 @@
         current_configuration: CurrentConfiguration,
         dialect: Dialect,
         object_name: str,
-        on_change: Callable[[], None],
+        on_change: Callable[[Configuration, Any], None],
     ) -> None:
+        """Call ``on_change`` with a configuration and its document."""
         self._current_configuration = current_configuration
         self._dialect = dialect
         self._object_name = object_name
@@ -154,4 +159,4 @@
                 revision=entry.version,
                 routes=len(found.routes),
             )
-            self._on_change()
+            self._on_change(found, entry.document)
--- a/cassiarail/edge/registry/parts.py
+++ b/cassiarail/edge/registry/parts.py
@@ -2,9 +2,12 @@
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 from cassiarail.core.clock import Clock
-from cassiarail.edge.control import ControlDependencies, ControlParts
+from cassiarail.edge.control import ControlParts
+from cassiarail.edge.dependencies import ControlDependencies
+from cassiarail.edge.registry.configuration import Configuration
 from cassiarail.edge.registry.followers import (
     ConfigurationFollower,
     TargetFollower,
@@ -28,6 +31,8 @@
         clock: Clock,
         generator: random.Random,
     ) -> None:
+        self._report_soon = control.presence.report_soon
+        self._copies = dependencies.copies
         self._receiver = control.update_receiver
         self._configuration = dependencies.configuration
         settings = dependencies.settings['registry']
@@ -50,7 +55,7 @@
                 dependencies.configuration,
                 dependencies.dialect,
                 settings['configuration_name'],
-                control.presence.report_soon,
+                self._on_configuration,
             ),
             clock,
             generator,
@@ -71,6 +76,12 @@
         control.on_term_start = self.watches.restart_waits
         control.presence.on_directory_change = on_directory_change
 
+    def _on_configuration(
+        self, configuration: Configuration, document: Any
+    ) -> None:
+        self._copies.record(configuration, document)
+        self._report_soon()
+
     def _compute_age_s(self) -> float:
         """Return the age of what this host knows of the store.
 
--- a/tests/edge/fleet/test_presence.py
+++ b/tests/edge/fleet/test_presence.py
@@ -15,6 +15,7 @@
 from cassiarail.edge.crashes.exchange import CrashExchange
 from cassiarail.edge.crashes.quarantines import Quarantines
 from cassiarail.edge.fleet.broadcast import Broadcaster, Host
+from cassiarail.edge.fleet.configuration_copies import ConfigurationCopies
 from cassiarail.edge.fleet.demand import DemandMeter
 from cassiarail.edge.fleet.fleet_demand import FleetDemand
 from cassiarail.edge.fleet.messages import EngineRow
@@ -22,6 +23,7 @@
 from cassiarail.edge.fleet.presence import Presence, PresenceParts
 from cassiarail.edge.fleet.state_updates import StateUpdateReceiver
 from cassiarail.edge.fleet.traffic import PeerTraffic, TrafficRules
+from cassiarail.edge.registry.configuration import CurrentConfiguration
 from cassiarail.edge.registry.targets import (
     Holdings,
     ModelVariant,
@@ -32,6 +34,7 @@
 from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.pool import Address
 from cassiarail.limits.crash_attribution import CrashAttribution
+from cassiarail.platform.dialect import PlatformDialect
 
 # As on the large deployments: hosts, data centres, links, engines, orders.
 HOSTS = 80
@@ -142,6 +145,10 @@
         self.directory = TargetDirectory(clock.monotonic)
         self.receiver = StateUpdateReceiver(clock)
         self.meter = DemandMeter(clock)
+        self.configuration = CurrentConfiguration()
+        self.copies = ConfigurationCopies(
+            self.configuration, PlatformDialect(), clock
+        )
         traffic = PeerTraffic(
             clock, TrafficRules(LINK_MBPS, SHARE), CollectorRegistry()
         )
@@ -169,7 +176,7 @@
                 lambda: 0.1,
                 lambda: hosts,
                 traffic,
-                lambda: 1,
+                self.copies,
             ),
             clock,
         )
