Check a configuration before it is sent

Cause: mistakes in the configuration of cassiarail-edge (routes that never match, limits that contradict each other, keys held twice) were found only by callers.

Change: cassiarail-ctl check-configuration reports them with path, reason and the other entry, compares with the version in force, hides keys and has exit codes. The checks are in edge/configuration_checks; the decoding of client accounts has a module of its own in platform/.

--- a/cassiarail/commands/ctl.py
+++ b/cassiarail/commands/ctl.py
@@ -14,6 +14,7 @@
 import typer
 
 from cassiarail.commands import quarantine
+from cassiarail.commands.configuration import check_configuration_file
 from cassiarail.commands.options import EXIT_FAILED, EXIT_REJECTED
 from cassiarail.commands.version import VersionOption
 from cassiarail.conf.files import RejectedSettingsError
@@ -45,6 +46,7 @@
 
 program = typer.Typer(add_completion=False, no_args_is_help=True)
 program.add_typer(quarantine.program, name='quarantine')
+program.command('check-configuration')(check_configuration_file)
 _KEY_BYTES = 24
 _ROLLOUT_TIMEOUT_S = 3.0
 _POLL_INTERVAL_S = 0.1
--- a/cassiarail/declarations/differences.py
+++ b/cassiarail/declarations/differences.py
@@ -28,7 +28,7 @@
     after: DeclarationsDocument,
 ) -> Impact:
     """Return the differences and the models and targets they affect."""
-    differences = list(_find_differences(before or {}, after, '$'))
+    differences = list(find_differences(before or {}, after, '$'))
     if before is None:
         models = sorted(index_models(after))
     else:
@@ -36,19 +36,20 @@
     return Impact(differences, models, _list_affected_targets(after, models))
 
 
-def _find_differences(
+def find_differences(
     before: Any, after: Any, path: str
 ) -> Iterator[Difference]:
+    """Yield what differs; entries of lists are matched by their names."""
     if isinstance(before, dict) and isinstance(after, dict):
         keys = sorted({*before, *after})
         for key in keys:
-            yield from _find_differences(
+            yield from find_differences(
                 before.get(key),
                 after.get(key),
                 f'{path}.{key}',
             )
     elif _is_named_list(before) and _is_named_list(after):
-        yield from _find_differences(
+        yield from find_differences(
             _index_by_name(before), _index_by_name(after), path
         )
     elif before != after:
--- /dev/null
+++ b/cassiarail/edge/configuration_checks/__init__.py
@@ -0,0 +1,1 @@
+"""Check a configuration before it is sent."""
--- a/cassiarail/platform/documents.py
+++ b/cassiarail/platform/documents.py
@@ -20,17 +20,11 @@
 from cassiarail.edge.registry.targets import Holdings, Target
 from cassiarail.http1.assembly import ClientLimits
 from cassiarail.http1.pool import Address
-from cassiarail.security.accounts import (
-    AccountDirectory,
-    AccountKeys,
-    AccountQuota,
-    ClientAccount,
-)
-from cassiarail.security.keys import compute_key_digest
+from cassiarail.platform.accounts import Tenant, convert_account
+from cassiarail.security.accounts import AccountDirectory
 
 _MS = 1000
 _MEGABYTE = 1_000_000
-_QUOTA_UNIT = 'tokens'
 
 
 # An entry that is longer doesn't fit in a datagram with others. Those of the
@@ -151,24 +145,12 @@
     idle_ms: int = 15_000
 
 
-class _Tenant(msgspec.Struct):
-    """Define a client account; ``rate_per_s`` and ``burst`` count units."""
-
-    name: str
-    api_keys: list[str] = []
-    priority: int | None = None
-    unit: str = ''
-    plain_tokens: float = 1
-    rate_per_s: float = 0
-    burst: float = 0
-
-
 class _Config(msgspec.Struct):
     version: int
     routes: list[_RouteEntry]
     services: list[_ServiceEntry]
     limits: _Limits = _Limits()
-    tenants: list[_Tenant] = []
+    tenants: list[Tenant] = []
 
 
 def decode_target(instance: str, document: Any) -> Target:
@@ -248,22 +230,8 @@
             read_timeout_s=limits.header_timeout_ms / _MS,
             idle_s=limits.idle_ms / _MS,
         ),
-        AccountDirectory([_convert_account(each) for each in config.tenants]),
-    )
-
-
-def _convert_account(tenant: _Tenant) -> AccountKeys:
-    quota = AccountQuota(
-        tenant.rate_per_s,
-        tenant.burst,
-        tenant.unit == _QUOTA_UNIT,
-        tenant.plain_tokens,
-    )
-    has_quota = tenant.rate_per_s > 0
-    account = ClientAccount(
-        tenant.name, tenant.priority, quota if has_quota else None
+        AccountDirectory([convert_account(each) for each in config.tenants]),
     )
-    return AccountKeys(account, list(map(compute_key_digest, tenant.api_keys)))
 
 
 def _convert_holdings(
--- a/cassiarail/security/accounts.py
+++ b/cassiarail/security/accounts.py
@@ -40,19 +40,25 @@
 
 
 class AccountKeys(NamedTuple):
-    """Hold the digests of an account's keys."""
+    """Hold the digests of an account's keys.
+
+    ``unused_burst`` is a burst that was configured without a rate.
+    """
 
     account: ClientAccount
     digests: Sequence[str]
+    unused_burst: float = 0
 
 
 class AccountDirectory:
     """Hold the client accounts of one configuration.
 
-    Without accounts, requests need no key.
+    Without accounts, requests need no key. ``entries`` holds the accounts with
+    the digests of their keys, in the order of the configuration.
     """
 
     def __init__(self, entries: Sequence[AccountKeys] = ()) -> None:
+        self.entries = tuple(entries)
         self._accounts = {each.account.name: each.account for each in entries}
         self._key_ring = KeyRing(
             (digest, each.account)
