Keep client accounts below their quotas over all hosts

Cause: nothing counted what an account uses, so a quota had no effect.

Change: the leader grants units of each account to the hosts, which spend them without asking. A request over the quota gets 429 with the time until units may be there; one that ends as not run gives its units back.

--- a/cassiarail/edge/events.py
+++ b/cassiarail/edge/events.py
@@ -212,6 +212,16 @@
     level=logging.WARNING,
     summary='lease could not be acquired or renewed; trying again',
 )
+QUOTA_EXCEEDED = define_event(
+    number=2130,
+    level=logging.WARNING,
+    summary='requests of a client account are refused for its quota',
+)
+QUOTA_KEPT = define_event(
+    number=2131,
+    level=logging.INFO,
+    summary='requests of a client account are no longer refused for its quota',
+)
 ABANDONED_RESPONSE_LOST = define_event(
     number=2106,
     level=logging.INFO,
--- a/cassiarail/edge/fleet/fleet_demand.py
+++ b/cassiarail/edge/fleet/fleet_demand.py
@@ -47,6 +47,13 @@
             if row.asked:
                 self._objectives[(row.service, row.model)] = row.objective_s
 
+    def count_present(self, within_s: float) -> int:
+        """Return the number of hosts that reported within a time."""
+        oldest = self._clock.monotonic() - within_s
+        return sum(
+            report.received_at >= oldest for report in self._reports.values()
+        )
+
     def summarize_models(self, service: str) -> dict[str, ModelDemand]:
         """Return the demand for each model of a service."""
         now = self._clock.monotonic()
--- a/cassiarail/edge/fleet/messages.py
+++ b/cassiarail/edge/fleet/messages.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from cassiarail.limits.quotas import GrantRow, UseRow
+
 
 class DemandRow(msgspec.Struct, array_like=True):
     """Report the demand for a model or adapter at one host."""
@@ -206,6 +208,35 @@
         return bool(self.engines or self.targets or self.gone)
 
 
+class QuotaReport(
+    msgspec.Struct,
+    tag='use',
+    rename={'fence': 'f', 'started_at': 'b', 'sent_at': 's', 'rows': 'r'},
+):
+    """Report the use of client accounts on a host to the leader.
+
+    ``fence`` is the leader's term. ``started_at`` identifies the process and
+    ``sent_at`` the report; both are of the host's monotonic clock.
+    """
+
+    fence: int
+    started_at: float
+    sent_at: float
+    rows: list[UseRow]
+
+
+class QuotaGrants(
+    msgspec.Struct,
+    tag='grant',
+    rename={'fence': 'f', 'sent_at': 's', 'rows': 'r'},
+):
+    """Grant units of client accounts; ``sent_at`` is that of the report."""
+
+    fence: int
+    sent_at: float
+    rows: list[GrantRow]
+
+
 class Relay(msgspec.Struct, tag='relay'):
     """Carry a datagram that the receiver handles and forwards."""
 
@@ -213,7 +244,9 @@
     addresses: list[str]
 
 
-Message = DemandReport | StateUpdate | CrashReport | Relay
+Message = (
+    DemandReport | StateUpdate | CrashReport | QuotaReport | QuotaGrants | Relay
+)
 _decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
--- a/cassiarail/edge/fleet/presence.py
+++ b/cassiarail/edge/fleet/presence.py
@@ -23,10 +23,13 @@
     ExpectedRow,
     FailedRequestRow,
     Message,
+    QuotaGrants,
+    QuotaReport,
     Relay,
     StateUpdate,
 )
 from cassiarail.edge.fleet.peers import PeerLink
+from cassiarail.edge.fleet.quota_listener import QuotaListener
 from cassiarail.edge.fleet.sent_rows import SentRows
 from cassiarail.edge.fleet.state_updates import REORDER_S, StateUpdateReceiver
 from cassiarail.edge.fleet.traffic import PeerTraffic, TrafficKind
@@ -96,11 +99,14 @@
         self.host_count = 0
         self.leader: PlacementLeader | None = None
         self.election: LeaderElection | None = None
+        self.quotas: QuotaListener | None = None
+        self.count_present = parts.fleet_demand.count_present
+        self.list_hosts = parts.list_hosts
         self.on_directory_change: Callable[[], None] = parts.waits.wake
         self._host = host
         self._parts = parts
         self._clock = clock
-        self._link = link
+        self.link = link
         link.on_message = self.handle_message
         self._changes = ChangeLog(
             parts.directory,
@@ -125,7 +131,7 @@
 
     async def start(self) -> None:
         """Bind the address for peers."""
-        await self._link.start()
+        await self.link.start()
 
     async def run(self) -> None:
         """Report regularly until cancelled."""
@@ -142,7 +148,12 @@
 
     async def stop(self) -> None:
         """Release the address."""
-        self._link.stop()
+        self.link.stop()
+
+    @property
+    def leader_address(self) -> Address | None:
+        """Return where the leader receives reports, if one was heard."""
+        return self._leader_address
 
     def report_soon(self) -> None:
         """Report as soon as the link has sent the earlier datagrams."""
@@ -162,7 +173,7 @@
             self._parts.fleet_demand.record_report(demand_report)
             self._send_state_updates(is_regular=is_regular)
         elif self._leader_address is not None:
-            self._link.send(
+            self.link.send(
                 demand_report,
                 self._leader_address,
                 TrafficKind.DEMAND_REPORT,
@@ -206,11 +217,15 @@
     def handle_message(self, message: Message, sender: Address) -> None:
         """Handle a message of another host."""
         if isinstance(message, Relay):
-            self._link.relay(message.datagram, message.addresses, sender)
+            self.link.relay(message.datagram, message.addresses, sender)
             return
         if isinstance(message, CrashReport):
             self._parts.crash_exchange.receive(message, sender)
             return
+        if isinstance(message, QuotaReport | QuotaGrants):
+            if self.quotas is not None:
+                self.quotas.receive(message, sender)
+            return
         for failure in message.losses:
             self._parts.suspects.record(
                 failure.fingerprint,
@@ -253,7 +268,7 @@
         update = self._make_state_update([])
         update.number = self._parts.broadcaster.number
         update.reply_to = report.sent_at
-        self._link.send(update, sender, TrafficKind.STATE_UPDATE)
+        self.link.send(update, sender, TrafficKind.STATE_UPDATE)
 
     def _handle_state_update(self, update: StateUpdate) -> None:
         receiver = self._parts.receiver
@@ -275,6 +290,8 @@
         if update.members is not None:
             self._members.receive(update.members)
         self._leader_seen_at = self._clock.monotonic()
+        if self.quotas is not None and not update.is_last:
+            self.quotas.record_contact(update.fence)
         self._set_expected(update.expected)
         if apply_rows(self._parts.directory, update):
             self.on_directory_change()
@@ -338,7 +355,7 @@
         self.host_count = max(self.host_count, hosts)
         return StateUpdate(
             self._host,
-            str(self._link.address),
+            str(self.link.address),
             self.election.fence if self.election else 0,
             0,
             self._contact_s(),
--- a/cassiarail/edge/fleet/traffic.py
+++ b/cassiarail/edge/fleet/traffic.py
@@ -26,6 +26,7 @@
     RESEND = 'repeat'
     DEMAND_REPORT = 'digest'
     CRASH_REPORT = 'crashes'
+    QUOTA = 'quota'
 
 
 class TrafficRules(NamedTuple):
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -17,6 +17,7 @@
 from cassiarail.edge.registry.targets import TargetDirectory
 from cassiarail.edge.requests.caller_listener import DrainRules
 from cassiarail.edge.requests.parts import RequestDependencies, RequestParts
+from cassiarail.edge.requests.quotas import QuotaMetrics
 from cassiarail.edge.status import MetricsListener, ReadinessListener
 from cassiarail.edge.upkeep import SettingsWatch, Upkeep
 from cassiarail.http1.pool import Address
@@ -95,6 +96,7 @@
                 self._reachability,
                 self._control,
                 self._metrics,
+                QuotaMetrics(self._registry),
             ),
             self._clock,
             self._generator,
@@ -123,10 +125,12 @@
         return [
             self._registry_parts.watches,
             *self._control.components,
+            self._requests.quota_exchange,
             Upkeep(
                 self._clock,
                 [
                     self._requests.pool.sweep,
+                    self._requests.quotas.end_episodes,
                     self._control.order_pool.sweep,
                     self._registry_parts.targets.expire,
                     self._control.traffic.log_traffic,
--- a/cassiarail/edge/requests/admission.py
+++ b/cassiarail/edge/requests/admission.py
@@ -9,6 +9,7 @@
     Route,
 )
 from cassiarail.edge.requests.jobs import Job
+from cassiarail.edge.requests.quotas import QuotaGate
 from cassiarail.edge.requests.refusals import Refusal
 from cassiarail.http1.exchanges import Exchange
 from cassiarail.security.accounts import ClientAccount
@@ -18,13 +19,20 @@
 
 
 class RequestAdmission:
-    """Check requests against the current configuration."""
+    """Check requests against the configuration and the quotas.
+
+    Without ``quotas``, the use of accounts is not limited.
+    """
 
     def __init__(
-        self, dialect: Dialect, configuration: CurrentConfiguration
+        self,
+        dialect: Dialect,
+        configuration: CurrentConfiguration,
+        quotas: QuotaGate | None = None,
     ) -> None:
         self._dialect = dialect
         self._configuration = configuration
+        self._quotas = quotas
 
     def admit(self, exchange: Exchange) -> Job:
         """Return the job of a request.
@@ -46,6 +54,19 @@
         account = authenticate(configuration, route, request.key)
         return Job(exchange, request, configuration, route, account)
 
+    async def charge(self, job: Job) -> None:
+        """Spend units of the quota of a request's account.
+
+        Raises ``Refusal`` if the account is over its quota.
+        """
+        if self._quotas is not None:
+            await self._quotas.charge(job)
+
+    def settle(self, job: Job) -> None:
+        """Return the units of a request that has ended without a run."""
+        if self._quotas is not None:
+            self._quotas.settle(job)
+
 
 def authenticate(
     configuration: Configuration, route: Route, key: str | None
--- a/cassiarail/edge/requests/forwarding.py
+++ b/cassiarail/edge/requests/forwarding.py
@@ -102,7 +102,7 @@
     async def forward(self, exchange: Exchange) -> None:
         """Forward one request and send its response."""
         try:
-            job = self._admit(exchange)
+            job = await self._admit(exchange)
         except Refusal as refusal:
             self._refuse_unadmitted(exchange, refusal)
             return
@@ -123,10 +123,11 @@
         ):
             await self._serve(job)
 
-    def _admit(self, exchange: Exchange) -> Job:
+    async def _admit(self, exchange: Exchange) -> Job:
         job = self._parts.admission.admit(exchange)
         if not self.accepts_new:
             raise build_stop_refusal()
+        await self._parts.admission.charge(job)
         return job
 
     async def _serve(self, job: Job) -> None:
@@ -364,6 +365,7 @@
         )
 
     def _record_end(self, job: Job, ending: str) -> None:
+        self._parts.admission.settle(job)
         seconds = asyncio.get_running_loop().time() - job.exchange.received_at
         self._parts.metrics.count_request(
             job.route.kind.value,
--- a/cassiarail/edge/requests/parts.py
+++ b/cassiarail/edge/requests/parts.py
@@ -9,6 +9,7 @@
 from cassiarail.core.clock import Clock
 from cassiarail.edge.control import ControlParts
 from cassiarail.edge.dialect import Dialect
+from cassiarail.edge.fleet.quota_exchange import QuotaExchange
 from cassiarail.edge.metrics import EdgeMetrics
 from cassiarail.edge.registry.configuration import CurrentConfiguration
 from cassiarail.edge.registry.targets import TargetDirectory
@@ -18,6 +19,11 @@
 from cassiarail.edge.requests.forwarding import Forwarder, ForwardingParts
 from cassiarail.edge.requests.load_times import LoadTimeEstimator
 from cassiarail.edge.requests.memory import build_request_memory
+from cassiarail.edge.requests.quotas import (
+    QuotaGate,
+    QuotaMetrics,
+    QuotaParts,
+)
 from cassiarail.edge.requests.runs import RunMonitor
 from cassiarail.edge.requests.selection import TargetSelector
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
@@ -43,6 +49,7 @@
     reachability: ReachabilityTracker
     control: ControlParts
     metrics: EdgeMetrics
+    quota_metrics: QuotaMetrics
 
 
 class RequestParts:
@@ -60,6 +67,18 @@
         settings = dependencies.settings
         self.pool = ConnectionPool(PoolRules(TARGET_CONNECT_TIMEOUT_S))
         self.memory = build_request_memory(settings)
+        self.quota_exchange = QuotaExchange(
+            dependencies.control.presence, dependencies.configuration, clock
+        )
+        self.quotas = QuotaGate(
+            QuotaParts(
+                self.quota_exchange.quotas,
+                dependencies.quota_metrics,
+                self.quota_exchange.ask_soon,
+            ),
+            clock,
+        )
+        self.quota_exchange.on_grants = self.quotas.wake
         self.budgets = ServiceBudgets(
             clock,
             read_retry_rules(settings),
@@ -95,12 +114,15 @@
     def refresh_metrics(self) -> None:
         """Update the gauges before they are read."""
         self.memory.refresh(self._dependencies.metrics)
+        self.quotas.refresh_metrics()
 
     def _build_forwarding(self) -> ForwardingParts:
         shared = self._dependencies
         control = shared.control
         return ForwardingParts(
-            admission=RequestAdmission(shared.dialect, shared.configuration),
+            admission=RequestAdmission(
+                shared.dialect, shared.configuration, self.quotas
+            ),
             selector=TargetSelector(
                 shared.directory,
                 self._earliest_selector,
--- /dev/null
+++ b/cassiarail/limits/quotas.py
@@ -0,0 +1,372 @@
+"""Spend the units of client accounts on one host.
+
+A host spends units that the leader has granted it. A grant expires, so that
+the units of a host that has stopped can be granted to others. A host that has
+heard no leader spends an equal part of a smaller refill.
+"""
+
+import enum
+import math
+import zlib
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from cassiarail.core.clock import Clock
+from cassiarail.limits.quota_bounds import QuotaBounds, compute_bounds
+from cassiarail.security.accounts import ClientAccount
+
+# Units that the leader has not confirmed for this long are not spent.
+GRANT_S = 6.0
+# A host that has received nothing from the leader for this long is alone.
+ALONE_AFTER_S = 2.0
+# Rows of accounts in use are repeated after this time, well within a grant.
+_RENEW_S = 2.5
+# An account that isn't used for this long gives its units back.
+_IDLE_S = 1.5
+# A row in which units run low is sent again after this time.
+_LOW_S = 0.6
+# Units are requested for this time of recent use, and for some requests more.
+_AHEAD_S = 3.0
+_AHEAD_REQUESTS = 1
+_USE_DECAY_S = 2.0
+_COST_WEIGHT = 0.25
+# Below this share of what is held ahead, units run low.
+_LOW_SHARE = 0.5
+# The leader isn't asked again for this long after it has denied units.
+_MAX_DENIAL_S = 0.6
+_MIN_RETRY_S = 0.2
+_MAX_RETRY_S = 2.0
+# Hosts until they are counted; a small part harms least.
+_UNKNOWN_HOSTS = 128
+_MS = 1000
+_NEVER = float('-inf')
+
+
+class Decision(enum.Enum):
+    """Name what happens to a request."""
+
+    ADMITTED = 'admitted'
+    ASK_LEADER = 'ask leader'
+    REFUSED = 'refused'
+
+
+class SpendResult(NamedTuple):
+    """Hold the decision on a request, and when a refused one may return."""
+
+    decision: Decision
+    retry_after_s: float = 0
+
+
+class UseRow(NamedTuple):
+    """Report the use of an account on one host to the leader.
+
+    ``spent`` and ``received`` count the units of the leader's term. ``urgent``
+    units are needed by requests that wait, ``ahead`` units for those to come.
+    """
+
+    account: int
+    spent: int
+    received: int
+    held: int
+    urgent: int
+    ahead: int
+
+
+class GrantRow(NamedTuple):
+    """Grant units of an account to one host.
+
+    ``granted`` counts the units of the leader's term. ``denied_ms`` is the
+    time until urgent units that were not granted may be there, or 0.
+    """
+
+    account: int
+    granted: int
+    denied_ms: int
+
+
+def identify_account(name: str) -> int:
+    """Return the number that stands for an account in messages."""
+    return zlib.crc32(name.encode())
+
+
+class _RecentUse:
+    """Estimate how fast an account's units are used on this host."""
+
+    def __init__(self, now: float) -> None:
+        self.used_at = now
+        self._units = float(0)
+        self._mean_cost = float(0)
+
+    def record(self, cost: float, now: float) -> None:
+        """Count the units of a request."""
+        self._units = self._decay(now) + cost
+        self.used_at = now
+        self._mean_cost += (cost - self._mean_cost) * _COST_WEIGHT
+
+    def compute_target(self, now: float) -> float:
+        """Return the units to hold for the requests to come."""
+        if now - self.used_at > _IDLE_S:
+            return 0
+        ahead = self._decay(now) / _USE_DECAY_S * _AHEAD_S
+        return ahead + self._mean_cost * _AHEAD_REQUESTS
+
+    def _decay(self, now: float) -> float:
+        return self._units * math.exp((self.used_at - now) / _USE_DECAY_S)
+
+
+class _AccountUnits:
+    """Hold the units of one account on this host."""
+
+    def __init__(
+        self, account: ClientAccount, bounds: QuotaBounds, now: float
+    ) -> None:
+        self.account = account
+        self.bounds = bounds
+        self.held = float(0)
+        self.expires_at = _NEVER
+        self.received = 0
+        self.spent = float(0)
+        self.urgent = float(0)
+        self.denied_until = _NEVER
+        self.retry_after_s = float(0)
+        self.alone = float(0)
+        self.alone_at = now
+        self.use = _RecentUse(now)
+        self.sent_at = _NEVER
+
+    def change_bounds(
+        self, account: ClientAccount, bounds: QuotaBounds
+    ) -> None:
+        """Apply a changed quota; units of a lower one are reduced at once."""
+        if bounds.pool < self.bounds.pool:
+            self.held *= bounds.pool / self.bounds.pool
+            self.alone = min(self.alone, bounds.fresh)
+        self.account = account
+        self.bounds = bounds
+
+    def expire(self, now: float) -> None:
+        """Drop units whose grant has expired."""
+        if now >= self.expires_at:
+            self.held = 0
+
+
+class HostQuotas:
+    """Hold the units of all accounts that this host has received.
+
+    ``count_hosts`` returns the number of hosts, or 0 if it is unknown.
+    """
+
+    def __init__(self, clock: Clock, count_hosts: Callable[[], int]) -> None:
+        self._clock = clock
+        self._count_hosts = count_hosts
+        self._units: dict[int, _AccountUnits] = {}
+        self._started_at = clock.monotonic()
+        # A host that starts waits for a leader as long as one that loses it.
+        self._contact_at = self._started_at
+        self._has_heard = False
+        self._fence = 0
+
+    @property
+    def fence(self) -> int:
+        """Return the leader's term that the counts belong to."""
+        return self._fence
+
+    @property
+    def hosts(self) -> int:
+        """Return the number of hosts that share a quota."""
+        return self._count_hosts() or _UNKNOWN_HOSTS
+
+    @property
+    def has_heard(self) -> bool:
+        """Return whether this process has heard any leader."""
+        return self._has_heard
+
+    @property
+    def started_at(self) -> float:
+        """Return when this host began to count."""
+        return self._started_at
+
+    def record_contact(self, fence: int) -> None:
+        """Record that the leader of a term was heard."""
+        self._contact_at = self._clock.monotonic()
+        self._has_heard = True
+        if fence <= self._fence:
+            return
+        for units in self._units.values():
+            units.received = 0
+            units.spent = 0
+            units.sent_at = _NEVER
+        self._fence = fence
+
+    def try_spend(self, account: ClientAccount, cost: float) -> SpendResult:
+        """Spend units for a new request if possible."""
+        now = self._clock.monotonic()
+        units = self._find(account, now)
+        if units is None:
+            return SpendResult(Decision.ADMITTED)
+        units.use.record(cost, now)
+        return self._decide(units, cost, now)
+
+    def try_again(self, account: ClientAccount, cost: float) -> SpendResult:
+        """Spend units for a request that has waited for the leader."""
+        now = self._clock.monotonic()
+        units = self._find(account, now)
+        if units is None:
+            return SpendResult(Decision.ADMITTED)
+        return self._decide(units, cost, now)
+
+    def give_back(self, account: ClientAccount, cost: float) -> None:
+        """Return the units of a request that has not run."""
+        now = self._clock.monotonic()
+        units = self._find(account, now)
+        if units is not None and now < units.expires_at:
+            units.held += cost
+            units.spent -= cost
+
+    def change_urgent(self, account: ClientAccount, cost: float) -> None:
+        """Change the units that waiting requests need."""
+        units = self._units.get(identify_account(account.name))
+        if units is not None:
+            units.urgent = max(0, units.urgent + cost)
+
+    def list_urgent(self) -> list[UseRow]:
+        """Return rows of accounts with waiting requests."""
+        now = self._clock.monotonic()
+        return [
+            _make_row(number, units, now)
+            for number, units in self._units.items()
+            if units.urgent > 0
+        ]
+
+    def list_due(self) -> list[UseRow]:
+        """Return rows that the leader should receive now."""
+        now = self._clock.monotonic()
+        return [
+            _make_row(number, units, now)
+            for number, units in self._units.items()
+            if self._is_due(units, now)
+        ]
+
+    def receive(
+        self, fence: int, sent_at: float, grants: Iterable[GrantRow]
+    ) -> None:
+        """Add granted units; ``sent_at`` is when this host reported its use."""
+        if fence != self._fence or sent_at < self._started_at:
+            return
+        now = self._clock.monotonic()
+        for grant in grants:
+            units = self._units.get(grant.account)
+            if units is None:
+                continue
+            units.expire(now)
+            expires_at = sent_at + GRANT_S
+            if expires_at <= now:
+                continue
+            if grant.granted > units.received:
+                units.held += grant.granted - units.received
+                units.received = grant.granted
+            units.expires_at = max(units.expires_at, expires_at)
+            if grant.denied_ms > 0:
+                denied_s = grant.denied_ms / _MS
+                units.denied_until = now + min(denied_s, _MAX_DENIAL_S)
+                units.retry_after_s = denied_s
+
+    def list_held(self) -> dict[str, float]:
+        """Return the units that are held, by the names of accounts."""
+        now = self._clock.monotonic()
+        held = {}
+        for units in self._units.values():
+            units.expire(now)
+            held[units.account.name] = units.held
+        return held
+
+    def is_alone(self) -> bool:
+        """Return whether no leader was heard for some time."""
+        return self._clock.monotonic() - self._contact_at >= ALONE_AFTER_S
+
+    def _find(self, account: ClientAccount, now: float) -> _AccountUnits | None:
+        number = identify_account(account.name)
+        if account.quota is None:
+            self._units.pop(number, None)
+            return None
+        units = self._units.get(number)
+        if units is None:
+            bounds = compute_bounds(account.quota)
+            units = _AccountUnits(account, bounds, now)
+            self._units[number] = units
+            if not self._has_heard:
+                units.alone = bounds.fresh / self.hosts
+        elif account.quota != units.account.quota:
+            units.change_bounds(account, compute_bounds(account.quota))
+        return units
+
+    def _decide(
+        self, units: _AccountUnits, cost: float, now: float
+    ) -> SpendResult:
+        units.expire(now)
+        if units.held >= cost:
+            units.held -= cost
+            units.spent += cost
+            return SpendResult(Decision.ADMITTED)
+        self._refill_alone(units, now)
+        if units.alone >= cost:
+            units.alone -= cost
+            return SpendResult(Decision.ADMITTED)
+        if self.is_alone():
+            missing = cost - units.alone
+            return SpendResult(
+                Decision.REFUSED,
+                _limit_retry(missing / self._alone_per_s(units)),
+            )
+        if now < units.denied_until:
+            return SpendResult(
+                Decision.REFUSED, _limit_retry(units.retry_after_s)
+            )
+        return SpendResult(Decision.ASK_LEADER)
+
+    def _refill_alone(self, units: _AccountUnits, now: float) -> None:
+        """Add what a host without a leader may spend."""
+        if self.is_alone():
+            since = max(units.alone_at, self._contact_at + ALONE_AFTER_S)
+            # What was granted counts towards what may accumulate.
+            stock = max(0, units.bounds.alone_stock / self.hosts - units.held)
+            added = max(0, now - since) * self._alone_per_s(units)
+            units.alone = min(max(stock, units.alone), units.alone + added)
+        elif self._has_heard:
+            units.alone = 0
+        units.alone_at = now
+
+    def _alone_per_s(self, units: _AccountUnits) -> float:
+        return units.bounds.alone_per_s / self.hosts
+
+    def _is_due(self, units: _AccountUnits, now: float) -> bool:
+        units.expire(now)
+        age_s = now - units.sent_at
+        if age_s >= _RENEW_S:
+            return units.held > 0 or now - units.use.used_at <= _IDLE_S
+        if age_s < _LOW_S:
+            return False
+        target = units.use.compute_target(now)
+        if not target:
+            return units.held > 0
+        return units.held < target * _LOW_SHARE
+
+
+def _make_row(number: int, units: _AccountUnits, now: float) -> UseRow:
+    target = units.use.compute_target(now)
+    units.expire(now)
+    units.sent_at = now
+    if not target:
+        units.held = 0
+    return UseRow(
+        number,
+        math.ceil(units.spent),
+        units.received,
+        math.floor(units.held),
+        math.ceil(units.urgent),
+        math.ceil(max(0, target - units.held)),
+    )
+
+
+def _limit_retry(seconds: float) -> float:
+    return min(max(seconds, _MIN_RETRY_S), _MAX_RETRY_S)
