--- a/cassiarail/edge/fleet/presence.py
+++ b/cassiarail/edge/fleet/presence.py
@@ -23,12 +23,15 @@
     DemandReport,
     EngineRow,
     ExpectedRow,
-    FailedRequestRow,
     Message,
+    QuotaGrants,
+    QuotaReport,
     Relay,
     StateUpdate,
 )
 from cassiarail.edge.fleet.peers import PeerLink
+from cassiarail.edge.fleet.quota_listener import QuotaListener
+from cassiarail.edge.fleet.rows import list_failed_requests
 from cassiarail.edge.fleet.sent_rows import SentRows
 from cassiarail.edge.fleet.state_updates import REORDER_S, StateUpdateReceiver
 from cassiarail.edge.fleet.traffic import PeerTraffic, TrafficKind
@@ -45,10 +48,6 @@
 # carries all reports.
 _LARGE_FLEET = 20
 _LARGE_FLEET_REPORTS = 2
-# Failed requests are repeated for this long, so that a lost datagram doesn't
-# matter.
-_FAILURES_WITHIN_S = 10.0
-_MAX_FAILURES = 20
 # While the link is idle, urgent reports wait this long to be sent together.
 _BATCH_DELAY_S = 0.002
 # Missed updates are resent only if the link will be free within this time.
@@ -97,11 +96,14 @@
         self.host_count = 0
         self.leader: PlacementLeader | None = None
         self.election: LeaderElection | None = None
+        self.quotas: QuotaListener | None = None
+        self.count_present = parts.fleet_demand.count_present
+        self.list_hosts = parts.list_hosts
         self.on_directory_change: Callable[[], None] = parts.waits.wake
         self._host = host
         self._parts = parts
         self._clock = clock
-        self._link = link
+        self.link = link
         link.on_message = self.handle_message
         parts.configurations.connect(link.send)
         self._changes = ChangeLog(
@@ -127,7 +129,7 @@
 
     async def start(self) -> None:
         """Bind the address for peers."""
-        await self._link.start()
+        await self.link.start()
 
     async def run(self) -> None:
         """Report regularly until cancelled."""
@@ -144,7 +146,12 @@
 
     async def stop(self) -> None:
         """Release the address."""
-        self._link.stop()
+        self.link.stop()
+
+    @property
+    def leader_address(self) -> Address | None:
+        """Return where the leader receives reports, if one was heard."""
+        return self._leader_address
 
     def report_soon(self) -> None:
         """Report as soon as the link has sent the earlier datagrams."""
@@ -164,7 +171,7 @@
             self._parts.fleet_demand.record_report(demand_report)
             self._send_state_updates(is_regular=is_regular)
         elif self._leader_address is not None:
-            self._link.send(
+            self.link.send(
                 demand_report,
                 self._leader_address,
                 TrafficKind.DEMAND_REPORT,
@@ -208,7 +215,7 @@
     def handle_message(self, message: Message, sender: Address) -> None:
         """Handle a message of another host."""
         if isinstance(message, Relay):
-            self._link.relay(message.datagram, message.addresses, sender)
+            self.link.relay(message.datagram, message.addresses, sender)
             return
         if isinstance(message, ConfigurationCopy):
             if self._parts.configurations.receive(message):
@@ -217,6 +224,10 @@
         if isinstance(message, CrashReport):
             self._parts.crash_exchange.receive(message, sender)
             return
+        if isinstance(message, QuotaReport | QuotaGrants):
+            if self.quotas is not None:
+                self.quotas.receive(message, sender)
+            return
         for failure in message.losses:
             self._parts.suspects.record(
                 failure.fingerprint,
@@ -261,7 +272,7 @@
         update = self._make_state_update([])
         update.number = self._parts.broadcaster.number
         update.reply_to = report.sent_at
-        self._link.send(update, sender, TrafficKind.STATE_UPDATE)
+        self.link.send(update, sender, TrafficKind.STATE_UPDATE)
 
     def _handle_state_update(self, update: StateUpdate) -> None:
         receiver = self._parts.receiver
@@ -283,6 +294,8 @@
         if update.members is not None:
             self._members.receive(update.members)
         self._leader_seen_at = self._clock.monotonic()
+        if self.quotas is not None and not update.is_last:
+            self.quotas.record_contact(update.fence)
         self._set_expected(update.expected)
         if apply_rows(self._parts.directory, update):
             self.on_directory_change()
@@ -306,7 +319,7 @@
         return DemandReport(
             self._host,
             build_demand_rows(self._parts.meter.measure(), self._parts.waits),
-            _list_failed_requests(self._parts.suspects),
+            list_failed_requests(self._parts.suspects),
             receiver.fence,
             receiver.last_received,
             receiver.begin_resend_request(),
@@ -333,7 +346,7 @@
             update.targets = changes.targets
             update.gone = changes.removed
             if is_regular:
-                update.losses = _list_failed_requests(self._parts.suspects)
+                update.losses = list_failed_requests(self._parts.suspects)
                 update.members = self._announcer.next_page()
             self._sent_rows.record(update.engines)
             self._parts.broadcaster.send(update)
@@ -347,7 +360,7 @@
         self.host_count = max(self.host_count, hosts)
         return StateUpdate(
             self._host,
-            str(self._link.address),
+            str(self.link.address),
             self.election.fence if self.election else 0,
             0,
             self._contact_s(),
@@ -379,11 +392,3 @@
 
     def _is_leader(self) -> bool:
         return self.leader is not None and self.leader.is_leader
-
-
-def _list_failed_requests(suspects: CrashSuspects) -> list[FailedRequestRow]:
-    recent = suspects.list_recent(_FAILURES_WITHIN_S)
-    return [
-        FailedRequestRow(failure.fingerprint, *failure.target)
-        for failure, _index in zip(recent, range(_MAX_FAILURES), strict=False)
-    ]
--- a/cassiarail/edge/fleet/traffic.py
+++ b/cassiarail/edge/fleet/traffic.py
@@ -27,6 +27,7 @@
     DEMAND_REPORT = 'digest'
     CRASH_REPORT = 'crashes'
     CONFIGURATION = 'configuration'
+    QUOTA = 'quota'
 
 
 class TrafficRules(NamedTuple):
