Bound what one client connection reads ahead and leaves unread

Cause: when a response ended, reading was resumed whether or not requests were buffered, and bytes read in the state of reading were counted nowhere, so that a connection took in all that its client had sent. Responses were written whether or not earlier ones were read, and unsent bytes were counted once.

Reading pauses with CALLER_AHEAD_BYTES behind the current request and resumes when the parser needs more. The next request waits while more than CALLER_UNREAD_BYTES of responses are unread. Both are counted by the clients' budget, without a free part; if it ends, what was sent ahead is dropped and the connection closes after its response. The stand-in transport of the connection machine gets the call for its high-water mark and pauses earlier.

--- a/cassiarail/conf/global_defaults.py
+++ b/cassiarail/conf/global_defaults.py
@@ -22,6 +22,10 @@
 # Hosts have 4,100 descriptors or more; targets, peers, the store, logs and the
 # listeners of the platform use the others.
 CALLER_CONNECTIONS_MAX = 3000
+# What one connection may send ahead, and leave unread before its next request
+# is handled.
+CALLER_AHEAD_BYTES = 16_384
+CALLER_UNREAD_BYTES = 16_384
 PEER_TIMEOUT_S = 1.0
 
 HEARTBEAT_INTERVAL_S = 1.0
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -20,9 +20,9 @@
 from cassiarail.http1.pool import Address
 from cassiarail.http1.server_connections import (
     ConnectionOwner,
-    ConnectionState,
     ServerConnection,
 )
+from cassiarail.http1.states import ConnectionState
 from cassiarail.limits.byte_budget import ByteBudget
 
 ExchangeHandler = Callable[[Exchange], Awaitable[None]]
--- a/cassiarail/http1/server_connections.py
+++ b/cassiarail/http1/server_connections.py
@@ -2,7 +2,6 @@
 
 import abc
 import asyncio
-import enum
 import http
 import inspect
 from collections.abc import Callable
@@ -18,10 +17,8 @@
     build_stop_error,
     build_timeout_error,
 )
-from cassiarail.http1.client_memory import (
-    ConnectionMemory,
-    build_memory_error,
-)
+from cassiarail.http1.bounded_connections import BoundedConnection
+from cassiarail.http1.client_memory import build_memory_error
 from cassiarail.http1.exchanges import Exchange, ResponseProgress
 from cassiarail.http1.parsing import (
     build_parser,
@@ -33,30 +30,15 @@
     close_gracefully,
     enable_dead_peer_detection,
 )
-from cassiarail.http1.timers import Timer
+from cassiarail.http1.states import ConnectionState
 from cassiarail.http1.writing import ResponseWriter
 from cassiarail.limits.byte_budget import ByteBudget
 
-# Maximum buffered bytes of pipelined requests during a response.
-_MAX_PIPELINED_BYTES = 65_536
 # Clients reuse connections until shortly before the idle limit. Closing later
 # than the limit avoids closing while a new request is in flight.
 _IDLE_MARGIN_S = 0.5
 
 
-class ConnectionState(enum.Enum):
-    """Name what a connection does; only ``CLOSING`` and ``CLOSED`` are final.
-
-    ``WAITING`` has read no byte of a request, and ``CLOSING`` reads no more.
-    """
-
-    WAITING = 'waiting'
-    READING = 'reading'
-    RESPONDING = 'responding'
-    CLOSING = 'closing'
-    CLOSED = 'closed'
-
-
 _FINAL = frozenset((ConnectionState.CLOSING, ConnectionState.CLOSED))
 
 
@@ -88,7 +70,7 @@
         """Handle one request."""
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(BoundedConnection):
     """Read the requests of one client and handle them in order.
 
     ``waiting_since`` is the event loop time of the connection's begin, or of
@@ -96,51 +78,29 @@
     """
 
     def __init__(self, listener: ConnectionOwner) -> None:
-        self.state = ConnectionState.WAITING
+        super().__init__(listener.memory)
         self.waiting_since = float(0)
         self._listener = listener
         self._limits = listener.limits()
-        self._loop = asyncio.get_running_loop()
         self._parser = build_parser(self._limits)
-        self._transport: asyncio.Transport | None = None
         self._writer = ResponseWriter(
             self._parser,
             self._end_response,
             self._is_last_response,
         )
         self._task: asyncio.Task[None] | None = None
-        self._timer = Timer(self._loop)
         self._assembler = RequestAssembler()
-        self._pipelined_bytes = 0
-        self._memory = ConnectionMemory(listener.memory)
+        self._is_ahead_revoked = False
+        self._is_stopping = False
         self._refuse_slow = partial(self._refuse, build_timeout_error())
         self._refuse_stale = partial(self._refuse, build_memory_error())
 
-    @property
-    def is_idle(self) -> bool:
-        """Return whether no request has begun and no response is unsent."""
-        is_waiting = self.state is ConnectionState.WAITING
-        return is_waiting and not self.has_unsent_bytes
-
-    @property
-    def is_lingering(self) -> bool:
-        """Return whether the client has only to close its end."""
-        transport = self._transport
-        is_open = transport is not None and not transport.is_closing()
-        is_closing = self.state is ConnectionState.CLOSING
-        return is_open and is_closing and not self.has_unsent_bytes
-
-    @property
-    def has_unsent_bytes(self) -> bool:
-        """Return whether a response waits for the client to read."""
-        transport = self._transport
-        return transport is not None and bool(transport.get_write_buffer_size())
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start waiting for the first request."""
-        self._transport = cast(asyncio.Transport, transport)
-        enable_dead_peer_detection(transport)
-        self._writer.attach(self._transport)
+        tcp = cast(asyncio.Transport, transport)
+        self.attach(tcp)
+        enable_dead_peer_detection(tcp)
+        self._writer.attach(tcp)
         self._memory.client = self._writer.peer.rpartition(':')[0]
         self.waiting_since = self._loop.time()
         self._listener.add(self)
@@ -156,9 +116,7 @@
             return
         self._parser.receive_data(received)
         if self.state is ConnectionState.RESPONDING:
-            self._pipelined_bytes += len(received)
-            if self._pipelined_bytes > _MAX_PIPELINED_BYTES and self._transport:
-                self._transport.pause_reading()
+            self.hold_ahead(self.ahead_bytes + len(received))
             return
         if self.state is ConnectionState.WAITING:
             self._expect_request()
@@ -177,8 +135,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request of a client that has disconnected."""
-        self._memory.release_body()
-        self._memory.release_unsent()
+        self._memory.release()
         self._cancel_response()
         self._timer.cancel()
         self.state = ConnectionState.CLOSED
@@ -187,14 +144,14 @@
     def pause_writing(self) -> None:
         """Block further chunks while the client doesn't read."""
         self._writer.writable.clear()
-        if self._transport is not None:
-            unsent_bytes = self._transport.get_write_buffer_size()
-            self._memory.take_unsent(unsent_bytes, self._transport.abort)
+        self.hold_unsent()
 
     def resume_writing(self) -> None:
         """Allow further chunks."""
         self._writer.writable.set()
         self._memory.release_unsent()
+        if self.state is ConnectionState.SENDING:
+            self._continue()
 
     def close(self) -> None:
         """Close the connection after all written bytes are sent and read."""
@@ -212,13 +169,6 @@
         if not transport.is_closing():
             close_gracefully(transport, self._timer)
 
-    def drop(self) -> None:
-        """Close the connection without waiting for its client."""
-        self.state = ConnectionState.CLOSING
-        self._timer.cancel()
-        if self._transport is not None:
-            self._transport.close()
-
     def refuse_unread(self) -> None:
         """Refuse a request of which only a part was read."""
         # A request that is complete in the buffer is handled instead.
@@ -227,6 +177,9 @@
 
     def stop(self) -> None:
         """Respond to what was read, break off a begun response, and close."""
+        self._is_stopping = True
+        if self.state is ConnectionState.SENDING:
+            self._continue()
         self.refuse_unread()
         writer = self._writer
         # A client that has left stays registered until its connection is lost.
@@ -260,7 +213,7 @@
                 )
                 return
             if event is h11.NEED_DATA:
-                self._writer.send_continue()
+                self._await_bytes()
                 return
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 return
@@ -273,6 +226,7 @@
         if isinstance(event, h11.Request):
             self._writer.received_at = self._loop.time()
             self._assembler.begin(event, self._limits)
+            self.receives_body = True
         elif isinstance(event, h11.Data):
             self._memory.take_body(len(event.data), self._refuse_stale)
             self._assembler.add(bytes(event.data), self._limits)
@@ -284,6 +238,8 @@
     def _start_response(self) -> None:
         self._timer.cancel()
         self.state = ConnectionState.RESPONDING
+        self.receives_body = False
+        self.hold_ahead(len(self._parser.trailing_data[0]))
         writer = self._writer
         writer.begin_exchange(self._assembler.head, self._assembler.body)
         is_draining = self._listener.is_draining
@@ -306,26 +262,62 @@
         if not is_reusable or self._transport is None:
             self.close()
             return
+        if self._is_ahead_revoked:
+            self.close()
+            return
         self._limits = self._listener.limits()
         self._parser = renew_parser(self._parser, self._limits)
         self._writer.use_parser(self._parser)
-        if self._pipelined_bytes:
-            self._pipelined_bytes = 0
-            self._transport.resume_reading()
+        if self._writer.writable.is_set():
+            self._continue()
+        elif self._is_stopping:
+            self.hold_unsent()
+            self._continue()
+        else:
+            self._wait_for_reader()
+
+    def _wait_for_reader(self) -> None:
+        """Handle no other request until the client reads its responses."""
+        self.state = ConnectionState.SENDING
+        self.pause_reading()
+        self._timer.set(self._limits.idle_s + _IDLE_MARGIN_S, self.close)
+
+    def _continue(self) -> None:
+        """Handle the next request if it was sent ahead, or wait for it."""
         if self._parser.trailing_data[0]:
             self._expect_request()
             # Lets the handler's task end first.
             self._loop.call_soon(self._read_request)
             return
+        self.resume_reading()
         self.state = ConnectionState.WAITING
         self.waiting_since = self._loop.time()
         self._timer.set(self._limits.idle_s + _IDLE_MARGIN_S, self.close)
 
+    def _await_bytes(self) -> None:
+        """Wait for the rest of a request."""
+        self._writer.send_continue()
+        if not self.receives_body:
+            unread_bytes = len(self._parser.trailing_data[0])
+            self._memory.hold_ahead(unread_bytes, self.revoke_ahead)
+        self.resume_reading()
+
+    def revoke_ahead(self) -> None:
+        """Handle none of the requests that were sent ahead."""
+        self._memory.release_ahead()
+        if self.state is ConnectionState.RESPONDING:
+            self._is_ahead_revoked = True
+        elif self.state is ConnectionState.SENDING:
+            self.close()
+        else:
+            self._refuse_stale()
+
     def _refuse(self, error: UnreadRequestError) -> None:
         """Respond to a request that was not read, then close."""
         if self.state is not ConnectionState.READING:
             return
         self._memory.release_body()
+        self._memory.release_ahead()
         self._assembler.discard()
         self._listener.count_unread(error.status, error.reason)
         self._writer.refuse(error, self._assembler.head.method)
--- a/cassiarail/limits/byte_budget.py
+++ b/cassiarail/limits/byte_budget.py
@@ -43,6 +43,13 @@
         counted = max(0, self._received_bytes - FREE_BYTES)
         return self._budget.resize(self, counted)
 
+    def hold(self, size: int) -> bool:
+        """Set all bytes, none of them free; return whether there is room."""
+        if self._is_released:
+            return False
+        self._budget.record_progress(self)
+        return self._budget.resize(self, size)
+
     def keep(self) -> None:
         """Protect a message that was read completely from being revoked."""
         self.revoke = None
--- a/tests/http1/test_connection_machine.py
+++ b/tests/http1/test_connection_machine.py
@@ -22,7 +22,6 @@
 from cassiarail.http1.pool import Address
 from cassiarail.http1.server_connections import ConnectionState
 
-HIGH_WATER_BYTES = 65_536
 unlikely = st.integers(0, 9).map(lambda number: number == 9)
 LARGE = bytes(100_000)
 HANDLERS = ('answer', 'stream', 'large', 'fail', 'break', 'wait', 'hang')
@@ -41,6 +40,7 @@
         self._protocol = protocol
         self._unsent = b''
         self._unread = []
+        self._high_water_bytes = 65_536
         self._is_paused = False
         self._is_closing = False
         self._has_ended = False
@@ -60,6 +60,9 @@
         if self._is_closing:
             self.abort()
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        self._high_water_bytes = high
+
     def write(self, data):
         assert not self._has_ended
         if self._is_closing:
@@ -68,7 +71,7 @@
         if not self.is_slow:
             self.received += self._unsent
             self._unsent = b''
-        elif len(self._unsent) > HIGH_WATER_BYTES:
+        elif len(self._unsent) > self._high_water_bytes:
             self._protocol.pause_writing()
 
     def write_eof(self):
