--- a/cassiarail/edge/metrics.py
+++ b/cassiarail/edge/metrics.py
@@ -1,5 +1,7 @@
 """Define the metrics of the forwarding path."""
 
+from collections.abc import Mapping
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 _BUCKETS_S = (
@@ -66,12 +68,23 @@
             'Requests and responses that callers held up for too long.',
             registry=registry,
         )
+        self._client_limits = Gauge(
+            'cassiarail_client_limits_reached',
+            "Times at which callers' connections reached a limit.",
+            ['limit'],
+            registry=registry,
+        )
         self.dropped_lines = Gauge(
             'cassiarail_dropped_log_lines',
             'Log lines dropped because standard output was not read.',
             registry=registry,
         )
 
+    def set_limit_counts(self, counts: Mapping[str, int]) -> None:
+        """Set how often callers' connections have reached each limit."""
+        for name, count in counts.items():
+            self._client_limits.labels(name).set(count)
+
     def count_request(self, kind: str, verdict: str, seconds: float) -> None:
         """Count a request that has ended."""
         self._requests.labels(kind, verdict).inc()
--- a/cassiarail/edge/requests/caller_listener.py
+++ b/cassiarail/edge/requests/caller_listener.py
@@ -71,6 +71,10 @@
             memory,
         )
 
+    def refresh_metrics(self) -> None:
+        """Update how often callers' connections have reached their limits."""
+        self._metrics.set_limit_counts(self._listener.limit_counts)
+
     async def start(self) -> None:
         """Start listening."""
         await self._listener.start()
--- a/cassiarail/edge/requests/parts.py
+++ b/cassiarail/edge/requests/parts.py
@@ -95,6 +95,7 @@
     def refresh_metrics(self) -> None:
         """Update the gauges before they are read."""
         self.memory.refresh(self._dependencies.metrics)
+        self.listener.refresh_metrics()
 
     def _build_forwarding(self) -> ForwardingParts:
         shared = self._dependencies
--- a/cassiarail/http1/bounded_connections.py
+++ b/cassiarail/http1/bounded_connections.py
@@ -6,6 +6,7 @@
 
 import abc
 import asyncio
+from collections.abc import Callable
 
 from cassiarail.conf.global_defaults import (
     CALLER_AHEAD_BYTES,
@@ -31,7 +32,13 @@
     the request that is being handled.
     """
 
-    def __init__(self, budget: ByteBudget) -> None:
+    def __init__(
+        self,
+        budget: ByteBudget,
+        count_limit: Callable[[str], None],
+    ) -> None:
+        """Call ``count_limit`` with the name of a limit that is reached."""
+        self._count_limit = count_limit
         self.state = ConnectionState.WAITING
         self.receives_body = False
         self.ahead_bytes = 0
@@ -99,6 +106,7 @@
         self.ahead_bytes = size
         self._memory.hold_ahead(size, self.revoke_ahead)
         if size >= CALLER_AHEAD_BYTES:
+            self._count_limit('ahead')
             self.pause_reading()
 
     def hold_unsent(self) -> None:
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -1,6 +1,7 @@
 """Accept client connections and handle their requests."""
 
 import asyncio
+import collections
 import contextlib
 import http
 import os
@@ -51,6 +52,7 @@
         been idle for the longest time is closed.
         """
         self.closed_at_limit = 0
+        self.limit_counts: collections.Counter[str] = collections.Counter()
         self._max_connections = max_connections
         self.limits = limits
         self.memory = memory or build_client_memory()
@@ -171,6 +173,10 @@
         if self._count_unread is not None:
             self._count_unread(status, reason)
 
+    def count_limit(self, name: str) -> None:
+        """Count that a connection has reached a limit."""
+        self.limit_counts[name] += 1
+
     def add(self, connection: ServerConnection) -> None:
         """Register an open connection, and close another at the limit."""
         self._connections[connection] = None
@@ -179,6 +185,7 @@
         unused = self._find_unused()
         if unused is not None:
             self.closed_at_limit += 1
+            self.count_limit('connections')
             unused.drop()
 
     def record_use(self, connection: ServerConnection) -> None:
--- a/cassiarail/http1/server_connections.py
+++ b/cassiarail/http1/server_connections.py
@@ -65,6 +65,10 @@
     def count_unread(self, status: int, reason: str) -> None:
         """Report a request that could not be read."""
 
+    @abc.abstractmethod
+    def count_limit(self, name: str) -> None:
+        """Count that a connection has reached a limit."""
+
     @abc.abstractmethod
     async def handle_exchange(self, exchange: Exchange) -> None:
         """Handle one request."""
@@ -78,7 +82,7 @@
     """
 
     def __init__(self, listener: ConnectionOwner) -> None:
-        super().__init__(listener.memory)
+        super().__init__(listener.memory, listener.count_limit)
         self.waiting_since = float(0)
         self._listener = listener
         self._limits = listener.limits()
@@ -279,6 +283,7 @@
     def _wait_for_reader(self) -> None:
         """Handle no other request until the client reads its responses."""
         self.state = ConnectionState.SENDING
+        self._count_limit('unread')
         self.pause_reading()
         self._timer.set(self._limits.idle_s + _IDLE_MARGIN_S, self.close)
 
--- a/tests/http1/test_bounds.py
+++ b/tests/http1/test_bounds.py
@@ -17,7 +17,7 @@
 
 @contextlib.asynccontextmanager
 async def send_ahead(sent, handler):
-    """Send requests without reading; yield the harness and the connection."""
+    """Send without reading; yield the harness, the connection and a reader."""
     async with ListenerHarness(handler=handler) as harness:
         reader, writer = await asyncio.open_connection(
             *harness.address, limit=1000
@@ -41,7 +41,7 @@
 
     async def main():
         async with send_ahead(sent, send_large) as (
-            _harness,
+            harness,
             connection,
             reader,
         ):
@@ -50,6 +50,7 @@
             unsent_bytes = connection._transport.get_write_buffer_size()
             assert 0 < unsent_bytes <= MAX_UNSENT_BYTES
             assert connection._writer.number < COUNT
+            assert harness.listener.limit_counts['unread'] == 1
             received = await reader.read(-1)
         assert received.count(b'HTTP/1.1 200') == COUNT
 
@@ -69,6 +70,7 @@
         async with send_ahead(sent, wait) as (harness, connection, reader):
             assert connection.ahead_bytes <= MAX_AHEAD_BYTES
             assert harness.listener.memory.used_bytes <= MAX_AHEAD_BYTES
+            assert harness.listener.limit_counts['ahead'] == 1
             release.set()
             received = await reader.read(-1)
             assert not harness.listener.memory.used_bytes
