--- a/cassiarail/edge/requests/parts.py
+++ b/cassiarail/edge/requests/parts.py
@@ -115,6 +115,7 @@
         """Update the gauges before they are read."""
         self.memory.refresh(self._dependencies.metrics)
         self.quotas.refresh_metrics()
+        self.listener.refresh_metrics()
 
     def _build_forwarding(self) -> ForwardingParts:
         shared = self._dependencies
