--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -17,6 +17,7 @@
 from tests.http1.test_connection_machine import ConnectionMachine
 from tests.limits.test_attribution_machine import AttributionMachine
 from tests.limits.test_byte_budget import BudgetMachine
+from tests.limits.test_quota_machine import QuotaMachine
 from tests.placement.test_memory_machine import MemoryMachine
 
 _MACHINES = (
@@ -26,6 +27,7 @@
     AttributionMachine,
     MemoryMachine,
     BudgetMachine,
+    QuotaMachine,
     ConnectionMachine,
 )
 
--- a/tests/limits/quota_fleet.py
+++ b/tests/limits/quota_fleet.py
@@ -6,6 +6,11 @@
 import random
 
 from cassiarail.core.clock import ManualClock
+from cassiarail.edge.fleet.messages import (
+    QuotaGrants,
+    QuotaReport,
+    encode_message,
+)
 from cassiarail.limits.quota_ledger import (
     HostPresence,
     HostReport,
@@ -23,7 +28,7 @@
 TICK_S = 0.25
 UPDATE_S = 0.5
 IN_TOUCH_S = 1.5
-# Sizes of a row and of a datagram's remainder, with the headers below it.
+# Headers of IP and UDP.
 HEADER_BYTES = 28
 
 
@@ -152,7 +157,11 @@
         report = HostReport(
             host.name, host.quotas.started_at, self.now, tuple(rows)
         )
-        size = HEADER_BYTES + measure_report(rows)
+        size = measure(
+            QuotaReport(
+                host.quotas.fence, report.started_at, self.now, list(rows)
+            )
+        )
         self.send(
             host,
             host.leader,
@@ -174,7 +183,7 @@
         grants = leader.ledger.receive(
             report, HostPresence(count, max(0, count - present))
         )
-        size = HEADER_BYTES + measure_grants(grants)
+        size = measure(QuotaGrants(fence, report.sent_at, grants))
         self.send(
             leader,
             host,
@@ -255,12 +264,8 @@
         return self.refused[account.name] / max(1, self.asked[account.name])
 
 
-def measure_report(rows):
-    return 40 + 22 * len(rows)
-
-
-def measure_grants(grants):
-    return 20 + 14 * len(grants)
+def measure(message):
+    return HEADER_BYTES + len(encode_message(message))
 
 
 def on_one(index=0):
