--- a/cassiarail/edge/fleet/messages.py
+++ b/cassiarail/edge/fleet/messages.py
@@ -211,29 +211,29 @@
 class QuotaReport(
     msgspec.Struct,
     tag='use',
-    rename={'fence': 'f', 'started_at': 'b', 'sent_at': 's', 'rows': 'r'},
+    rename={'fence': 'f', 'started_ms': 'b', 'sent_ms': 's', 'rows': 'r'},
 ):
     """Report the use of client accounts on a host to the leader.
 
-    ``fence`` is the leader's term. ``started_at`` identifies the process and
-    ``sent_at`` the report; both are of the host's monotonic clock.
+    ``fence`` is the leader's term. ``started_ms`` identifies the process and
+    ``sent_ms`` the report; both are of the host's monotonic clock.
     """
 
     fence: int
-    started_at: float
-    sent_at: float
+    started_ms: int
+    sent_ms: int
     rows: list[UseRow]
 
 
 class QuotaGrants(
     msgspec.Struct,
     tag='grant',
-    rename={'fence': 'f', 'sent_at': 's', 'rows': 'r'},
+    rename={'fence': 'f', 'sent_ms': 's', 'rows': 'r'},
 ):
-    """Grant units of client accounts; ``sent_at`` is that of the report."""
+    """Grant units of client accounts; ``sent_ms`` is that of the report."""
 
     fence: int
-    sent_at: float
+    sent_ms: int
     rows: list[GrantRow]
 
 
--- a/cassiarail/edge/fleet/quota_exchange.py
+++ b/cassiarail/edge/fleet/quota_exchange.py
@@ -26,9 +26,10 @@
 )
 from cassiarail.limits.quotas import HostQuotas, UseRow
 
-_INTERVAL_S = 0.25
+_INTERVAL_S = 1.0
 # Requests that wait are reported together, at most this often.
 _ASK_INTERVAL_S = 0.05
+_MS = 1000
 _BATCH_DELAY_S = 0.002
 # A host that has sent no demand report for this long is out of touch. It goes
 # on alone only later.
@@ -111,8 +112,8 @@
             return
         report = QuotaReport(
             self.quotas.fence,
-            self.quotas.started_at,
-            self._clock.monotonic(),
+            int(self.quotas.started_at * _MS),
+            int(self._clock.monotonic() * _MS),
             rows,
         )
         if self._find_election() is not None:
@@ -125,7 +126,8 @@
             self._link.send(report, address, TrafficKind.QUOTA)
 
     def _receive_grants(self, grants: QuotaGrants) -> None:
-        self.quotas.receive(grants.fence, grants.sent_at, grants.rows)
+        sent_at = grants.sent_ms / _MS
+        self.quotas.receive(grants.fence, sent_at, grants.rows)
         self.on_grants()
 
     def _grant(
@@ -140,11 +142,11 @@
         present = self._presence.count_present(_PRESENT_S)
         rows = self.ledger.receive(
             HostReport(
-                str(sender), report.started_at, report.sent_at, report.rows
+                str(sender), report.started_ms, report.sent_ms, report.rows
             ),
             HostPresence(hosts, max(0, hosts - present)),
         )
-        return QuotaGrants(report.fence, report.sent_at, rows)
+        return QuotaGrants(report.fence, report.sent_ms, rows)
 
     def _begin_term(self, fence: int) -> None:
         if fence != self._term:
--- a/cassiarail/limits/quota_ledger.py
+++ b/cassiarail/limits/quota_ledger.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from cassiarail.core.clock import Clock
@@ -226,10 +226,6 @@
             grants.append(pool.grant(report.host, row, now))
         return grants
 
-    def summarize(self) -> Mapping[int, float]:
-        """Return the units left to grant, by the account's number."""
-        return {number: pool.left for number, pool in self._pools.items()}
-
     def _find_pool(self, number: int) -> _Pool | None:
         quota = self._quotas.get(number)
         if quota is None:
--- a/cassiarail/limits/quotas.py
+++ b/cassiarail/limits/quotas.py
@@ -19,19 +19,23 @@
 GRANT_S = 6.0
 # A host that has received nothing from the leader for this long is alone.
 ALONE_AFTER_S = 2.0
-# Rows of accounts in use are repeated after this time, well within a grant.
+# Units of an account in use are confirmed again this long before they expire.
 _RENEW_S = 2.5
-# An account that isn't used for this long gives its units back.
+# An account that isn't used for this long gives its units back, unless they are
+# for fewer than some requests; those are left to expire.
 _IDLE_S = 1.5
-# A row in which units run low is sent again after this time.
-_LOW_S = 0.6
+_LEFT_REQUESTS = 0.5
+# A row is sent again after this time.
+_REPEAT_S = 0.6
 # Units are requested for this time of recent use, and for some requests more.
-_AHEAD_S = 3.0
-_AHEAD_REQUESTS = 1
+_AHEAD_S = 6.0
+_AHEAD_REQUESTS = 2
 _USE_DECAY_S = 2.0
 _COST_WEIGHT = 0.25
 # Below this share of what is held ahead, units run low.
 _LOW_SHARE = 0.5
+# Rows with less than this share are sent along with those that are due.
+_ALONG_SHARE = 0.8
 # The leader isn't asked again for this long after it has denied units.
 _MAX_DENIAL_S = 0.6
 _MIN_RETRY_S = 0.2
@@ -95,20 +99,24 @@
     def __init__(self, now: float) -> None:
         self.used_at = now
         self._units = float(0)
-        self._mean_cost = float(0)
+        self.mean_cost = float(0)
 
     def record(self, cost: float, now: float) -> None:
         """Count the units of a request."""
         self._units = self._decay(now) + cost
         self.used_at = now
-        self._mean_cost += (cost - self._mean_cost) * _COST_WEIGHT
+        self.mean_cost += (cost - self.mean_cost) * _COST_WEIGHT
+
+    def is_idle(self, now: float) -> bool:
+        """Return whether the account wasn't used for some time."""
+        return now - self.used_at > _IDLE_S
 
     def compute_target(self, now: float) -> float:
         """Return the units to hold for the requests to come."""
-        if now - self.used_at > _IDLE_S:
+        if self.is_idle(now):
             return 0
         ahead = self._decay(now) / _USE_DECAY_S * _AHEAD_S
-        return ahead + self._mean_cost * _AHEAD_REQUESTS
+        return ahead + self.mean_cost * _AHEAD_REQUESTS
 
     def _decay(self, now: float) -> float:
         return self._units * math.exp((self.used_at - now) / _USE_DECAY_S)
@@ -230,22 +238,12 @@
             units.urgent = max(0, units.urgent + cost)
 
     def list_urgent(self) -> list[UseRow]:
-        """Return rows of accounts with waiting requests."""
-        now = self._clock.monotonic()
-        return [
-            _make_row(number, units, now)
-            for number, units in self._units.items()
-            if units.urgent > 0
-        ]
+        """Return rows of accounts with waiting requests, and what is due."""
+        return self._list_rows(is_urgent=True)
 
     def list_due(self) -> list[UseRow]:
         """Return rows that the leader should receive now."""
-        now = self._clock.monotonic()
-        return [
-            _make_row(number, units, now)
-            for number, units in self._units.items()
-            if self._is_due(units, now)
-        ]
+        return self._list_rows(is_urgent=False)
 
     def receive(
         self, fence: int, sent_at: float, grants: Iterable[GrantRow]
@@ -339,17 +337,32 @@
     def _alone_per_s(self, units: _AccountUnits) -> float:
         return units.bounds.alone_per_s / self.hosts
 
-    def _is_due(self, units: _AccountUnits, now: float) -> bool:
-        units.expire(now)
-        age_s = now - units.sent_at
-        if age_s >= _RENEW_S:
-            return units.held > 0 or now - units.use.used_at <= _IDLE_S
-        if age_s < _LOW_S:
-            return False
-        target = units.use.compute_target(now)
-        if not target:
-            return units.held > 0
-        return units.held < target * _LOW_SHARE
+    def _list_rows(self, *, is_urgent: bool) -> list[UseRow]:
+        now = self._clock.monotonic()
+        for units in self._units.values():
+            units.expire(now)
+        is_due = any(
+            units.urgent > 0 if is_urgent else _is_due(units, now, _LOW_SHARE)
+            for units in self._units.values()
+        )
+        if not is_due:
+            return []
+        return [
+            _make_row(number, units, now)
+            for number, units in self._units.items()
+            if units.urgent > 0 or _is_due(units, now, _ALONG_SHARE)
+        ]
+
+
+def _is_due(units: _AccountUnits, now: float, low_share: float) -> bool:
+    """Return whether the leader should receive the row of an account."""
+    if now - units.sent_at < _REPEAT_S:
+        return False
+    if units.use.is_idle(now):
+        return units.held > units.use.mean_cost * _LEFT_REQUESTS
+    if now >= units.expires_at - _RENEW_S:
+        return True
+    return units.held < units.use.compute_target(now) * low_share
 
 
 def _make_row(number: int, units: _AccountUnits, now: float) -> UseRow:
