Order what is read from the store by era and revision

Cause: a store that comes back from a copy gives out revisions again, and everything here relied on revisions that only rise.

Change: a version holds the era of the answer (header Store-Era) and the revision in one number, so that every comparison, row between hosts and conditional write is ordered by the pair. A write or watch of a version of an earlier era isn't sent; one that is answered in a later era has an unknown outcome, or expires; a late answer of an earlier era proves nothing. Watches list again, the directory keeps targets that left as left, and the change is logged (4120, 4121) and shown in two metrics. Without the header all versions are revisions, as before.

--- a/cassiarail/edge/registry/targets.py
+++ b/cassiarail/edge/registry/targets.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import NamedTuple
 
+from cassiarail.edge.registry.restored import RestoredEntries
 from cassiarail.http1.pool import Address
+from cassiarail.store.eras import Version
 
 # Targets whose entries expired while the registry was unavailable register
 # again within about two seconds of its return.
@@ -61,8 +63,8 @@
     """Describe one incarnation of a target.
 
     ``born_ms`` is its start time, which distinguishes two incarnations under
-    one instance name. ``revision`` is the registry's revision of the entry, 0
-    if unknown.
+    one instance name. ``revision`` is the version of the entry in the registry
+    (``store/eras.py``), 0 if unknown.
     """
 
     instance: str
@@ -93,7 +95,8 @@
     """Hold the targets that the registry lists.
 
     After an outage of the registry, targets that are missing from it are
-    retained once for ``RETURN_GRACE_S``, unless they were leaving.
+    retained once for ``RETURN_GRACE_S``, unless they were leaving. Entries of
+    a new era don't bring back incarnations that were removed or leaving.
     """
 
     def __init__(self, now: Callable[[], float]) -> None:
@@ -111,6 +114,7 @@
         self._now = now
         self._targets: dict[str, Target] = {}
         self._entries: dict[str, Target] = {}
+        self._restored = RestoredEntries(now)
         self._grace_until = float('-inf')
         self._missing: dict[str, float] = {}
         self._reported: dict[tuple[str, int], _ReportedHoldings] = {}
@@ -165,13 +169,19 @@
         """Add or update a target, unless a newer entry is known."""
         if self._is_outdated(target.instance, target.revision):
             return
+        earlier = self._entries.get(target.instance)
+        if self._restored.was_leaving(target, earlier):
+            _remember(self._leaving, target.identity)
+        if not self._restored.admits(target):
+            return
         self._missing.pop(target.instance, None)
         self._removed_at_revision.pop(target.instance, None)
         if target.identity in self._leaving:
             target = target._replace(is_leaving=True)
-        earlier = self._entries.get(target.instance)
         self._entries[target.instance] = target
-        if earlier != target:
+        if earlier and earlier.identity != target.identity:
+            self._restored.record_removal(earlier, target.revision)
+        if not _is_same(earlier, target):
             self.entry_version += 1
             self.on_put(target)
         if earlier and earlier.holdings.models != target.holdings.models:
@@ -185,6 +195,7 @@
         ``revision`` is the registry's revision at which the entry was missing.
         Return whether the target is no longer known.
         """
+        self._restored.drop(instance, revision)
         target = self._targets.get(instance)
         if target is None:
             self._record_removal(instance, revision)
@@ -203,6 +214,7 @@
 
         Return whether the target was known until now.
         """
+        self._restored.drop(instance, revision)
         target = self._targets.get(instance)
         if target is None:
             self._record_removal(instance, revision)
@@ -225,7 +237,9 @@
         self._missing.pop(instance, None)
         self._reported.pop(target.identity, None)
         self.version += 1
-        self.on_removed(instance, self._removed_at_revision.get(instance, 0))
+        revision = self._removed_at_revision.get(instance, 0)
+        self._restored.record_removal(target, max(revision, target.revision))
+        self.on_removed(instance, revision)
 
     def _record_removal(self, instance: str, revision: int) -> None:
         """Record a removal, even of an entry that is not known yet."""
@@ -248,8 +262,13 @@
         return revision < entry.revision
 
     def expire(self) -> list[str]:
-        """Remove the targets that stayed missing; return their names."""
+        """Remove the targets that stayed missing; return their names.
+
+        Apply the restored entries that were held back for long enough.
+        """
         now = self._now()
+        for target in self._restored.list_due():
+            self.put(target)
         expired = [
             instance
             for instance, until in self._missing.items()
@@ -292,9 +311,7 @@
         """
         if identity in self._leaving:
             return False
-        self._leaving[identity] = None
-        if len(self._leaving) > _MAX_LEAVING:
-            self._leaving.popitem(last=False)
+        _remember(self._leaving, identity)
         entry = self._entries.get(identity[0])
         if entry and entry.identity == identity and not entry.is_leaving:
             if entry.instance in self._missing:
@@ -330,6 +347,29 @@
         )
 
 
+def _remember(
+    leaving: collections.OrderedDict[tuple[str, int], None],
+    identity: tuple[str, int],
+) -> None:
+    leaving[identity] = None
+    if len(leaving) > _MAX_LEAVING:
+        leaving.popitem(last=False)
+
+
+def _is_same(earlier: Target | None, target: Target) -> bool:
+    """Return whether an entry differs at most in the era of its version.
+
+    A new era alone changes nothing that other hosts have to know.
+    """
+    if earlier is None or earlier._replace(revision=target.revision) != target:
+        return False
+    era = Version.unpack(earlier.revision).era
+    return (
+        earlier.revision == target.revision
+        or era < Version.unpack(target.revision).era
+    )
+
+
 def mark_all_leaving(
     directory: TargetDirectory, identities: Iterable[tuple[str, int]]
 ) -> bool:
--- a/cassiarail/edge/registry/watches.py
+++ b/cassiarail/edge/registry/watches.py
@@ -26,7 +26,8 @@
     ``targets`` and ``configuration`` pace the watches.
     ``observe_lease`` receives each version of the lease that was read.
     ``check_interval_s`` returns the time between checks of the store.
-    ``begin_return`` is called at the first response after an outage.
+    ``begin_return`` is called at the first response after an outage, and when
+    the store has begun a new era.
     """
 
     targets: WatchPacer
@@ -78,6 +79,8 @@
             store.breaker,
             on_response=outage_detector.record_success,
         )
+        self._on_return = hooks.begin_return
+        store.era.listeners.append(self._resume_in_era)
         self._monitor = StoreMonitor(
             store,
             (self._targets, self._configuration),
@@ -111,6 +114,12 @@
         self._targets.resume_after_outage()
         self._configuration.resume_after_outage()
 
+    def _resume_in_era(self) -> None:
+        """Retain entries that the store has lost, and list what it has."""
+        self._on_return()
+        for watcher in (self._targets, self._configuration):
+            watcher.resume_in_era(self._store.era.current)
+
     async def run(self) -> None:
         """Watch until cancelled."""
         async with anyio.create_task_group() as group:
--- a/cassiarail/platform/store.py
+++ b/cassiarail/platform/store.py
@@ -17,7 +17,7 @@
     WatchExpiredError,
 )
 from cassiarail.http1.calls import ServerResponse, call_server
-from cassiarail.http1.messages import RequestHead
+from cassiarail.http1.messages import RequestHead, find_header
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.platform.pages import decode_page
 from cassiarail.store.backends.base import (
@@ -27,6 +27,7 @@
     StoredObject,
     WatchBatch,
 )
+from cassiarail.store.eras import Version, require_same_era
 from cassiarail.store.events import OBJECT_UNREADABLE
 from cassiarail.store.leases import LEASE_KIND, ORDERS_LEASE
 from cassiarail.store.monitor import Checkable
@@ -45,6 +46,7 @@
 # A stale read costs a tenth of a normal one and does not count
 # towards the rate limit.
 _STALE_QUERY = 'allow_stale=1'
+_ERA_HEADER = b'store-era'
 
 
 class PlatformStore(ObjectStore, Checkable):
@@ -56,10 +58,10 @@
 
     async def read(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or ``None`` if it doesn't exist."""
-        response = await self._call('GET', _build_path(kind, name))
-        if response.status == _NOT_FOUND:
+        answer = await self._call('GET', _build_path(kind, name))
+        if answer.status == _NOT_FOUND:
             return None
-        return _parse_object(kind, _decode_body(response))
+        return _parse_object(kind, answer.decode(), answer.era)
 
     async def check(self) -> int | None:
         """Return the lease's version from a stale read, or ``None``.
@@ -67,29 +69,33 @@
         The version may be seconds old.
         """
         path = _build_path(LEASE_KIND, ORDERS_LEASE)
-        response = await self._call(
+        answer = await self._call(
             'GET',
             f'{path}?{_STALE_QUERY}',
             timeout_s=_CHECK_TIMEOUT_S,
         )
-        if response.status == _NOT_FOUND:
+        if answer.status == _NOT_FOUND:
             return None
-        return _parse_object(LEASE_KIND, _decode_body(response)).version
+        return _parse_object(LEASE_KIND, answer.decode(), answer.era).version
 
     async def list_objects(self, kind: str, prefix: str = '') -> Listing:
         """Return all objects of a kind; they are read page by page."""
         stored_objects: list[StoredObject] = []
         path = _build_path(kind)
+        revision: int | None = None
         while True:
             page = _read_page(await self._call('GET', path), 'items')
-            entries = list(_parse_objects(kind, page.entries))
+            if revision is not None:
+                require_same_era(page.era, revision, is_write=False)
+            revision = page.revision
+            entries = list(_parse_objects(kind, page.entries, page.era))
             stored_objects.extend(entries)
             if not (page.has_more and entries):
                 break
             after = urlencode({'after': entries[-1].name})
             path = f'{_build_path(kind)}?{after}'
         return Listing(
-            page.revision,
+            revision,
             [each for each in stored_objects if each.name.startswith(prefix)],
         )
 
@@ -106,17 +112,21 @@
         version: int,
     ) -> int:
         """Replace an object at a known revision; return the new one."""
-        body = {'meta': {'name': name, 'rev': version}, 'spec': document}
-        return await self._write('PUT', _build_path(kind, name), body)
+        revision = self.era.require_current(version)
+        body = {'meta': {'name': name, 'rev': revision}, 'spec': document}
+        written = await self._write('PUT', _build_path(kind, name), body)
+        require_same_era(Version.unpack(written).era, version, is_write=True)
+        return written
 
     async def delete(self, kind: str, name: str, version: int) -> None:
         """Delete an object at a known revision."""
-        query = urlencode({'rev': version})
-        response = await self._call(
+        query = urlencode({'rev': self.era.require_current(version)})
+        answer = await self._call(
             'DELETE', f'{_build_path(kind, name)}?{query}'
         )
-        if response.status == _NOT_FOUND:
+        if answer.status == _NOT_FOUND:
             raise VersionConflictError(f'{kind}/{name} does not exist')
+        require_same_era(answer.era, version, is_write=True)
 
     async def watch(
         self,
@@ -126,16 +136,19 @@
         prefix: str = '',
     ) -> WatchBatch:
         """Wait for changes after a revision."""
-        query = urlencode({'watch': after, 'wait_ms': int(timeout_s * _MS)})
-        response = await self._call(
+        revision = self.era.require_history(after)
+        query = urlencode({'watch': revision, 'wait_ms': int(timeout_s * _MS)})
+        answer = await self._call(
             'GET',
             f'{_build_path(kind)}?{query}',
             timeout_s=timeout_s + _WATCH_MARGIN_S,
         )
-        page = _read_page(response, 'events')
+        page = _read_page(answer, 'events')
+        require_same_era(page.era, after, is_write=False)
         changed: dict[str, StoredObject | None] = {}
         for event in page.entries:
-            for entry in _parse_objects(kind, [_get_object(event)]):
+            found = [_get_object(event)]
+            for entry in _parse_objects(kind, found, page.era):
                 is_deleted = bool(event.get('deleted'))
                 changed[entry.name] = None if is_deleted else entry
         return WatchBatch(
@@ -162,15 +175,16 @@
         path: str,
         body: Mapping[str, Any],
     ) -> int:
-        response = await self._call(method, path, msgspec.json.encode(body))
-        if response.status == _NOT_FOUND:
+        answer = await self._call(method, path, msgspec.json.encode(body))
+        if answer.status == _NOT_FOUND:
             raise VersionConflictError(f'{path} does not exist')
         try:
-            return int(_decode_body(response)['meta']['rev'])
+            revision = int(answer.decode()['meta']['rev'])
         except (StoreUnavailableError, KeyError, TypeError) as error:
             raise StoreOutcomeUnknownError(
                 'the response has no readable revision'
             ) from error
+        return Version(answer.era, revision).pack()
 
     async def _call(
         self,
@@ -178,7 +192,7 @@
         path: str,
         body: bytes = b'',
         timeout_s: float = _TIMEOUT_S,
-    ) -> ServerResponse:
+    ) -> '_Answer':
         headers = [(b'host', str(self._address).encode())]
         if body:
             headers.append((b'content-type', b'application/json'))
@@ -194,8 +208,27 @@
             raise StoreUnavailableError(error.message) from error
         except ConnectionLostError as error:
             raise _build_interrupted_error(method, error.message) from error
+        era = self.era.read_answer(
+            find_header(response.headers, _ERA_HEADER),
+            is_write=method != 'GET',
+        )
         _raise_for_status(method, response)
-        return response
+        return _Answer(response.status, response.body, era)
+
+
+class _Answer(NamedTuple):
+    """Hold a response and the era in which the store gave it."""
+
+    status: int
+    body: bytes
+    era: int
+
+    def decode(self) -> Any:
+        """Return the decoded body."""
+        try:
+            return decode_page(self.body)
+        except ValueError as error:
+            raise StoreUnavailableError('the response is not JSON') from error
 
 
 def _raise_for_status(method: str, response: ServerResponse) -> None:
@@ -225,23 +258,18 @@
 class _Page(NamedTuple):
     """Hold a part of a listing, or the changes that a watch returned."""
 
+    era: int
     revision: int
     entries: list[Any]
     has_more: bool
 
 
-def _decode_body(response: ServerResponse) -> Any:
-    try:
-        return decode_page(response.body)
-    except ValueError as error:
-        raise StoreUnavailableError('the response is not JSON') from error
-
-
-def _read_page(response: ServerResponse, field: str) -> _Page:
-    body = _decode_body(response)
+def _read_page(answer: _Answer, field: str) -> _Page:
+    body = answer.decode()
     try:
         return _Page(
-            int(body['current_rev']),
+            answer.era,
+            Version(answer.era, int(body['current_rev'])).pack(),
             list(body[field]),
             bool(body.get('has_more')),
         )
@@ -253,22 +281,24 @@
     return event.get('object') if isinstance(event, dict) else None
 
 
-def _parse_objects(kind: str, bodies: Iterable[Any]) -> Iterator[StoredObject]:
+def _parse_objects(
+    kind: str, bodies: Iterable[Any], era: int
+) -> Iterator[StoredObject]:
     """Yield the objects that have a name and a revision."""
     for body in bodies:
         try:
-            yield _parse_object(kind, body)
+            yield _parse_object(kind, body, era)
         except StoreUnavailableError as error:
             emit_event(OBJECT_UNREADABLE, kind=kind, error=error.message)
 
 
-def _parse_object(kind: str, body: Any) -> StoredObject:
+def _parse_object(kind: str, body: Any, era: int) -> StoredObject:
     try:
         meta = body['meta']
         return StoredObject(
             kind,
             str(meta['name']),
-            int(meta['rev']),
+            Version(era, int(meta['rev'])).pack(),
             dict(body).get('spec'),
         )
     except (LookupError, TypeError, ValueError) as error:
--- a/cassiarail/store/backends/base.py
+++ b/cassiarail/store/backends/base.py
@@ -1,14 +1,20 @@
 """Define the interface of the object store."""
 
 import abc
+import functools
 from typing import Any, NamedTuple
 
+from cassiarail.store.eras import StoreEra
+
 # A JSON document that ``msgspec.json`` can encode and decode.
 JsonValue = Any
 
 
 class StoredObject(NamedTuple):
-    """Object as returned by the object API."""
+    """Object as returned by the object API.
+
+    ``version`` contains the era in which it was read (``store/eras.py``).
+    """
 
     kind: str
     name: str
@@ -36,9 +42,16 @@
 
     Every method raises ``StoreUnavailableError`` if the call certainly had no
     effect, and writes raise ``StoreOutcomeUnknownError`` if the response was
-    lost and the write may have taken effect.
+    lost and the write may have taken effect. Versions and revisions contain
+    the era; a write of an object that was read in an earlier era raises
+    ``VersionConflictError``.
     """
 
+    @functools.cached_property
+    def era(self) -> StoreEra:
+        """Return the latest known era of the store."""
+        return StoreEra()
+
     @abc.abstractmethod
     async def read(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or ``None`` if it doesn't exist."""
@@ -82,7 +95,8 @@
         """Wait for changes after a revision.
 
         Returns an empty batch after the timeout. Raises ``WatchExpiredError``
-        if the revision is no longer retained; list the objects again then.
+        if the revision is no longer retained or of an earlier era; list the
+        objects again then.
         """
 
     async def aclose(self) -> None:
--- a/cassiarail/store/events.py
+++ b/cassiarail/store/events.py
@@ -65,3 +65,13 @@
     level=logging.WARNING,
     summary='object without a name or a revision is left out',
 )
+STORE_ERA_KNOWN = define_event(
+    number=4120,
+    level=logging.INFO,
+    summary='era of the object API is known',
+)
+STORE_ERA_CHANGED = define_event(
+    number=4121,
+    level=logging.WARNING,
+    summary='object API came back from a copy; its latest writes are lost',
+)
--- a/cassiarail/store/observed.py
+++ b/cassiarail/store/observed.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
-from prometheus_client import CollectorRegistry, Counter
+from prometheus_client import CollectorRegistry, Counter, Gauge
 
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
@@ -20,6 +20,7 @@
     WatchBatch,
 )
 from cassiarail.store.breaker import StoreBreaker
+from cassiarail.store.eras import StoreEra
 from cassiarail.store.events import STORE_CALLS
 from cassiarail.store.leases import LEASE_KIND
 from cassiarail.store.monitor import Checkable
@@ -54,6 +55,12 @@
             ['call', 'kind', 'outcome'],
             registry=registry,
         )
+        self._observe_era(registry)
+
+    @property
+    def era(self) -> StoreEra:
+        """Return the latest known era of the store."""
+        return self._store.era
 
     async def read(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or ``None`` if it doesn't exist."""
@@ -123,6 +130,22 @@
         self._failed = 0
         self._logged_at = now
 
+    def _observe_era(self, registry: CollectorRegistry | None) -> None:
+        """Show the era, and when this process last noticed a new one."""
+        Gauge(
+            'cassiarail_store_era',
+            'Era of the object API; it rises when it comes back from a copy.',
+            registry=registry,
+        ).set_function(lambda: float(self.era.current))
+        changed_at = Gauge(
+            'cassiarail_store_era_changed_timestamp_seconds',
+            'When this process last noticed a new era, in Unix time, or 0.',
+            registry=registry,
+        )
+        self.era.listeners.append(
+            lambda: changed_at.set(self._clock.now().timestamp()),
+        )
+
     async def _observe(
         self,
         call: str,
--- a/cassiarail/store/watching.py
+++ b/cassiarail/store/watching.py
@@ -12,6 +12,7 @@
 from cassiarail.core.exceptions import StoreError, WatchExpiredError
 from cassiarail.store.backends.base import Listing, ObjectStore, WatchBatch
 from cassiarail.store.breaker import StoreBreaker
+from cassiarail.store.eras import Version
 from cassiarail.store.events import (
     WATCH_EXPIRED,
     WATCH_FAILED,
@@ -94,6 +95,12 @@
         if self._call_scope is not None:
             self._call_scope.cancel()
 
+    def resume_in_era(self, era: int) -> None:
+        """Cancel a wait for changes after a revision of an earlier era."""
+        revision = self._revision
+        if revision is not None and Version.unpack(revision).era < era:
+            self.resume_after_outage()
+
     async def _fetch_changes(self) -> None:
         await self._breaker.wait_until_closed()
         started_at = self._clock.monotonic()
--- a/tests/edge/registry/test_targets.py
+++ b/tests/edge/registry/test_targets.py
@@ -1,6 +1,7 @@
 """Test which targets are used while the registry is unavailable or late."""
 
 from cassiarail.core.clock import ManualClock
+from cassiarail.edge.registry.restored import RESTORED_HOLD_S
 from cassiarail.edge.registry.targets import (
     REPORTED_HOLDINGS_TTL_S,
     RETURN_GRACE_S,
@@ -10,6 +11,7 @@
     TargetDirectory,
 )
 from cassiarail.http1.pool import Address
+from cassiarail.store.eras import Version
 
 TARGET = Target('i', 1, 's', Address('10.0.0.1', 80), 'dc', 8)
 
@@ -170,3 +172,74 @@
     assert not list(directory)
     directory.put(TARGET._replace(revision=10))
     assert list(directory)
+
+
+def make_target(era, number, **changes):
+    return TARGET._replace(revision=Version(era, number).pack(), **changes)
+
+
+def test_what_a_new_era_lists_is_newer_than_a_higher_revision_before():
+    directory, _clock = make_directory(make_target(1, 9))
+    directory.replace_all([make_target(2, 5, slots=1)], Version(2, 5).pack())
+    assert directory.get('i').slots == 1
+    # A host that was cut off still sends what it knows.
+    directory.put(make_target(1, 12, slots=2))
+    directory.remove('i', Version(1, 12).pack())
+    assert directory.get('i').slots == 1
+
+
+def test_a_leaving_target_stays_leaving_when_its_report_is_lost():
+    directory, _clock = make_directory(make_target(1, 9, is_leaving=True))
+    directory.put(make_target(2, 5))
+    directory.put(make_target(2, 6))
+    assert not directory.of_service('s')
+    directory.put(make_target(2, 7, born_ms=2))
+    assert directory.of_service('s')
+
+
+def test_a_removed_target_stays_removed_when_its_entry_is_restored():
+    directory, clock = make_directory(make_target(1, 4))
+    directory.remove('i', Version(1, 9).pack())
+    directory.replace_all([make_target(2, 4)], Version(2, 5).pack())
+    clock.advance(RESTORED_HOLD_S - 0.1)
+    directory.expire()
+    assert not directory.of_service('s')
+    # Its removal is written again.
+    directory.remove('i', Version(2, 8).pack())
+    clock.advance(1)
+    directory.expire()
+    assert not directory.of_service('s')
+
+
+def test_a_target_that_writes_its_entry_after_a_restore_is_used():
+    directory, _clock = make_directory(make_target(1, 4))
+    directory.remove('i', Version(1, 9).pack())
+    directory.put(make_target(2, 4))
+    directory.put(make_target(2, 6))
+    assert directory.of_service('s')
+
+
+def test_a_restored_entry_that_stays_listed_is_used_in_the_end():
+    directory, clock = make_directory(make_target(1, 4))
+    directory.remove('i', Version(1, 9).pack())
+    directory.put(make_target(2, 4))
+    clock.advance(RESTORED_HOLD_S)
+    directory.expire()
+    assert directory.of_service('s')
+
+
+def test_an_earlier_incarnation_is_not_restored():
+    directory, _clock = make_directory(make_target(1, 4))
+    directory.put(make_target(1, 8, born_ms=2))
+    directory.put(make_target(2, 4))
+    assert directory.get('i').born_ms == 2
+
+
+def test_an_entry_that_is_only_of_a_new_era_is_not_sent_to_other_hosts():
+    directory, _clock = make_directory(make_target(1, 4))
+    sent = []
+    directory.on_put = sent.append
+    directory.put(make_target(2, 4))
+    assert not sent
+    directory.put(make_target(2, 5))
+    assert len(sent) == 1
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,6 +12,7 @@
     WatchExpiredError,
 )
 from cassiarail.platform.store import PlatformStore
+from cassiarail.store.eras import Version
 from tests.http1.wire import ScriptedServer, run_with_timeout
 
 OBJECT = {'meta': {'name': 'n', 'rev': 5}, 'spec': {'x': 1}, 'status': None}
@@ -141,3 +142,66 @@
     )
     assert [each.name for each in listing.entries] == ['n', 'o']
     assert b'after=n' in sent
+
+
+def encode_in_era(era, status, body=None):
+    head, _separator, rest = encode_response(status, body).partition(b'\r\n')
+    return head + b'\r\nStore-Era: %d\r\n' % era + rest
+
+
+def test_versions_contain_the_era_of_the_header():
+    found, _sent = run_call(
+        lambda store: store.read('k', 'n'), encode_in_era(3, 200, OBJECT)
+    )
+    assert Version.unpack(found.version) == (3, 5)
+
+
+def test_a_write_sends_the_revision_of_a_version():
+    async def read_and_replace(store):
+        found = await store.read('k', 'n')
+        return await store.replace('k', 'n', {'x': 2}, found.version)
+
+    written = {**OBJECT, 'meta': {'name': 'n', 'rev': 6}}
+    version, sent = run_call(
+        read_and_replace,
+        encode_in_era(3, 200, OBJECT),
+        encode_in_era(3, 200, written),
+    )
+    assert version == Version(3, 6).pack()
+    assert b'"rev":5' in sent
+
+
+def test_a_write_that_is_answered_in_a_later_era_has_an_unknown_outcome():
+    async def read_and_replace(store):
+        found = await store.read('k', 'n')
+        with pytest.raises(StoreOutcomeUnknownError):
+            await store.replace('k', 'n', {'x': 2}, found.version)
+        with pytest.raises(VersionConflictError):
+            await store.replace('k', 'n', {'x': 2}, found.version)
+
+    run_call(
+        read_and_replace,
+        encode_in_era(3, 200, OBJECT),
+        encode_in_era(4, 200, OBJECT),
+    )
+
+
+@pytest.mark.parametrize('status', [200, 410, 503])
+def test_each_answer_tells_of_a_new_era(status):
+    async def watch(store):
+        store.era.observe(3, 'answer')
+        with pytest.raises((WatchExpiredError, StoreUnavailableError)):
+            await store.watch('k', Version(3, 5).pack(), 1)
+        assert store.era.current == 4
+
+    events = {'current_rev': 5, 'events': []}
+    run_call(watch, encode_in_era(4, status, events))
+
+
+def test_a_listing_whose_pages_are_of_two_eras_is_begun_again():
+    async def list_all(store):
+        with pytest.raises(WatchExpiredError):
+            await store.list_objects('k')
+
+    page = {'current_rev': 5, 'items': [OBJECT], 'has_more': True}
+    run_call(list_all, encode_in_era(3, 200, page), encode_in_era(4, 200, page))
