Keep one holder and rising fencing tokens when the store loses the lease

Cause: a lease that the store lost, or restored as it was some seconds before, looked free, released or one's own; another host could take it at once while its holder went on, with a fencing token that had been given out.

Change: the lease names the era in which it was written. One of an earlier era proves nothing: its last holder may take it again while its own time lasts, and all others wait for a whole lease from when they learnt of the new era. Tokens contain the era. State updates carry it in the token, so that hosts learn it without a call. Hosts check their own entries within a second, at random times, and the leader writes quarantines again.

--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -35,7 +35,7 @@
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.routing.holds import TargetHolds
 from cassiarail.routing.reachability import ReachabilityTracker
-from cassiarail.store.leases import ORDERS_LEASE, Lease
+from cassiarail.store.leases import ORDERS_LEASE, Lease, is_first_fence
 from cassiarail.store.observed import ObservedStore
 from cassiarail.store.writes import ConditionalWriter
 
@@ -220,6 +220,9 @@
             ),
             clock,
         )
+        era = self._dependencies.store.era
+        era.listeners.append(self._election.renew_soon)
+        self.presence.observe_era = lambda number: era.observe(number, 'peer')
         self.presence.election = self._election
         self.presence.leader = self.leader
 
@@ -234,7 +237,7 @@
 
     def _on_leadership_change(self, is_leader: bool) -> None:
         if is_leader:
-            self._budget.begin(is_first=self._election.fence == 1)
+            self._budget.begin(is_first=is_first_fence(self._election.fence))
             self.leader.begin()
             self.presence.begin_term()
             self.on_term_start()
--- a/cassiarail/edge/crashes/persistence.py
+++ b/cassiarail/edge/crashes/persistence.py
@@ -66,6 +66,7 @@
         self._is_claiming = False
         self._released: set[frozenset[str]] = set()
         quarantines.listeners.append(self)
+        store.era.listeners.append(self._restore_soon)
 
     async def run(self) -> None:
         """Read what is stored, then keep it up to date while leader."""
@@ -121,6 +122,10 @@
         )
         return True
 
+    def _restore_soon(self) -> None:
+        """Write again what the store may have lost."""
+        self._has_changed = True
+
     async def _read_at_start(self) -> None:
         failures = 0
         while True:
--- a/cassiarail/edge/engines/leader.py
+++ b/cassiarail/edge/engines/leader.py
@@ -26,6 +26,7 @@
 from cassiarail.placement.fleet import Fleet, ModelFacts, Step
 from cassiarail.placement.ondemand import plan_steps
 from cassiarail.routing.reachability import ReachabilityTracker
+from cassiarail.store.leases import is_first_fence
 
 _TICK_S = 0.1
 # Traffic begins 12 s or more after the hosts are started for the first time,
@@ -241,7 +242,7 @@
         ]
 
     def _seconds_to_first_traffic(self) -> float:
-        if self._parts.election.fence > 1:
+        if not is_first_fence(self._parts.election.fence):
             return 0
         return max(
             0,
--- a/cassiarail/edge/fleet/election.py
+++ b/cassiarail/edge/fleet/election.py
@@ -18,7 +18,7 @@
     LEADERSHIP_STARTED,
     RENEWAL_FAILED,
 )
-from cassiarail.store.leases import CLOCK_RATE_MARGIN, Lease
+from cassiarail.store.leases import CLOCK_RATE_MARGIN, Lease, is_first_fence
 
 _TICK_S = 0.1
 
@@ -167,6 +167,10 @@
         )
         self._lease.accept_release(fence)
 
+    def renew_soon(self) -> None:
+        """Renew the lease at once; the store may have lost it."""
+        self._renew_at = self._clock.monotonic()
+
     async def run(self) -> None:
         """Compete for the lease until cancelled."""
         while not self._is_stopping:
@@ -231,13 +235,17 @@
             )
         elif not self._is_leader:
             self._begin_term(now)
+        elif self._lease.fence != self.fence:
+            self._end_term('store has lost the lease')
+            self._begin_term(now)
 
     def _begin_term(self, now: float) -> None:
         self._is_leader = True
         self.fence = self._lease.fence
-        holdoff_s = self._rules.holdoff_s if self.fence > 1 else 0
+        is_first = is_first_fence(self.fence)
+        holdoff_s = 0 if is_first else self._rules.holdoff_s
         if self._lease.was_released:
-            holdoff_s = self._rules.order_gap_s if self.fence > 1 else 0
+            holdoff_s = 0 if is_first else self._rules.order_gap_s
         if self._lease.inherited_holdoff_s is not None:
             # The previous leader was a process on this machine.
             holdoff_s = self._lease.inherited_holdoff_s
--- a/cassiarail/edge/fleet/hosts.py
+++ b/cassiarail/edge/fleet/hosts.py
@@ -1,7 +1,7 @@
 """Register this host, and list all hosts while it is leader."""
 
 import random
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Iterator, Mapping
 
 import anyio
 
@@ -26,6 +26,8 @@
 _CHECK_INTERVAL_S = 0.2
 # If a response is lost, new hosts get no state updates for this long.
 _WAIT_S = 10.0
+# Hosts check their entries in a new era at random times within this.
+_RESTORE_WITHIN_S = 1.0
 _RETRY = Backoff()
 
 
@@ -91,6 +93,8 @@
         self._is_needed = is_needed
         self._clock = clock
         self._generator = generator
+        self._is_restoring = False
+        store.era.listeners.append(self._restore_soon)
 
     def list_current(self) -> Iterable[Host]:
         """Return all hosts, or none unless they are being watched."""
@@ -98,17 +102,32 @@
 
     async def run(self) -> None:
         """Register, then watch the other hosts while they are needed."""
-        await self._register()
+        await self._register(self._write_entry)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._restore_entry)
+            while True:
+                if self._is_needed():
+                    await self._watch_hosts()
+                await self._clock.sleep(_CHECK_INTERVAL_S)
+
+    def _restore_soon(self) -> None:
+        self._is_restoring = True
+
+    async def _restore_entry(self) -> None:
+        """Write the entry again after each change of the store's era."""
         while True:
-            if self._is_needed():
-                await self._watch_hosts()
+            if self._is_restoring:
+                self._is_restoring = False
+                pause_s = _RESTORE_WITHIN_S * self._generator.random()
+                await self._clock.sleep(pause_s)
+                await self._register(self._update_entry)
             await self._clock.sleep(_CHECK_INTERVAL_S)
 
-    async def _register(self) -> None:
+    async def _register(self, write: Callable[[], Awaitable[None]]) -> None:
         failures = 0
         while True:
             try:
-                await self._write_entry()
+                await write()
             except VersionConflictError:
                 failures += 1
             except StoreError as error:
@@ -125,12 +144,15 @@
         try:
             await self._store.create(HOST_KIND, self._name, document)
         except VersionConflictError:
-            await self._update_entry(document)
+            await self._update_entry()
 
-    async def _update_entry(self, document: dict[str, str]) -> None:
-        """Update the entry of an earlier process, which may have moved."""
+    async def _update_entry(self) -> None:
+        """Update the entry of an earlier process, or write a lost one."""
+        document = dict(self._document)
         found = await self._store.read(HOST_KIND, self._name)
-        if found is not None and found.document != document:
+        if found is None:
+            await self._store.create(HOST_KIND, self._name, document)
+        elif found.document != document:
             await self._store.replace(
                 HOST_KIND,
                 self._name,
--- a/cassiarail/edge/fleet/presence.py
+++ b/cassiarail/edge/fleet/presence.py
@@ -37,6 +37,7 @@
 from cassiarail.edge.requests.suspects import CrashSuspects
 from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.pool import Address
+from cassiarail.store.eras import Version
 
 _REPORT_INTERVAL_S = 0.5
 # In a large fleet each host reports half as often, so that the leader's link
@@ -97,6 +98,7 @@
         self.leader: PlacementLeader | None = None
         self.election: LeaderElection | None = None
         self.on_directory_change: Callable[[], None] = parts.waits.wake
+        self.observe_era: Callable[[int], None] = _ignore_era
         self._host = host
         self._parts = parts
         self._clock = clock
@@ -260,6 +262,9 @@
         if update.fence < receiver.fence or update.host == self._host:
             return
         is_new_term = update.fence != receiver.fence
+        era = Version.unpack(update.fence).era
+        if era:
+            self.observe_era(era)
         receiver.receive(update)
         self.host_count = max(self.host_count, update.hosts)
         if self.election is not None:
@@ -372,6 +377,10 @@
         return self.leader is not None and self.leader.is_leader
 
 
+def _ignore_era(_era: int) -> None:
+    """Ignore the era that the leader's fencing token contains."""
+
+
 def _list_failed_requests(suspects: CrashSuspects) -> list[FailedRequestRow]:
     recent = suspects.list_recent(_FAILURES_WITHIN_S)
     return [
--- a/cassiarail/store/leases.py
+++ b/cassiarail/store/leases.py
@@ -4,6 +4,11 @@
 monotonic clock. Others measure it from the time at which they read that
 version. The holder therefore stops first regardless of delays, as long as
 clock rates differ by less than ``CLOCK_RATE_MARGIN``.
+
+A store that comes back from a copy may have lost the lease. What it holds then
+was written in an earlier era and proves nothing: the last holder may take the
+lease again while its own time lasts; all others wait for a whole lease. Fencing
+tokens contain the era, so that none is given out twice.
 """
 
 import random
@@ -15,6 +20,7 @@
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import StoreError, VersionConflictError
 from cassiarail.store.backends.base import StoredObject
+from cassiarail.store.eras import Version
 from cassiarail.store.events import LEASE_ACQUIRED, LEASE_LOST
 from cassiarail.store.writes import ConditionalWriter
 
@@ -25,19 +31,36 @@
 CLOCK_RATE_MARGIN = 0.1
 _NEVER = float('-inf')
 _NONCE_BITS = 32
+# One attempt finds that the store has begun a new era, the next one acquires.
+_ATTEMPTS = 2
+_FIRST = 1
+
+
+def is_first_fence(fence: int) -> bool:
+    """Return whether no other term can have been before that of a token."""
+    return Version.unpack(fence).number <= _FIRST
 
 
 class LeaseDocument(TypedDict):
     """Lease as the object API stores it; released if the holder is empty.
 
     ``holder`` names a machine and one of its processes. ``quiet_s`` is the
-    remaining order hold-off of the holder when it wrote the document.
+    remaining order hold-off of the holder when it wrote the document. ``era``
+    is the era that it knew, if the store names one.
     """
 
     holder: str
     fence: int
     duration_s: float
     quiet_s: NotRequired[float]
+    era: NotRequired[int]
+
+
+class _OwnRemainder(NamedTuple):
+    """Hold what is left to the holder of a lease that the store has lost."""
+
+    until: float
+    holdoff_s: float
 
 
 class _Observation(NamedTuple):
@@ -83,6 +106,10 @@
         self._released_fence = 0
         self._retired_fence = 0
         self.was_released = False
+        self._era = writer.store.era
+        self._own_remainder = _OwnRemainder(_NEVER, 0)
+        self._lost_at: float | None = None
+        self._era.listeners.append(self._record_new_era)
 
     @property
     def fence(self) -> int:
@@ -113,6 +140,7 @@
     def abandon(self) -> None:
         """Stop holding the lease without releasing it in the object API."""
         self._clear()
+        self._own_remainder = _OwnRemainder(_NEVER, 0)
 
     def seconds_left(self) -> float:
         """Return the seconds until the lease of this process expires."""
@@ -138,17 +166,22 @@
         of this machine. Raises ``StoreError`` if the object API call fails;
         the lease then expires at its deadline.
         """
-        try:
-            await self._acquire_or_renew(only_own=only_own)
-        except VersionConflictError:
-            self._clear()
+        for _ in range(_ATTEMPTS):
+            has_held = self._held_lease is not None
+            try:
+                await self._acquire_or_renew(only_own=only_own)
+            except VersionConflictError:
+                self._clear()
+                if has_held and self._is_own_remainder():
+                    continue
+            break
         return self.is_held()
 
     async def release(self) -> None:
         """Release the lease, so that others don't wait until it expires."""
         held_lease = self._held_lease
         was_held = self.is_held()
-        self._clear()
+        self.abandon()
         if held_lease is None or not was_held:
             return
         document = {**held_lease.document, 'holder': ''}
@@ -159,13 +192,20 @@
             return
 
     async def _acquire_or_renew(self, *, only_own: bool) -> None:
-        if self._held_lease is not None:
-            await self._write_lease(self._held_lease, self.fence)
+        held_lease = self._held_lease
+        if held_lease is not None and not self._era.is_past(held_lease.version):
+            await self._write_lease(held_lease, self.fence)
             return
+        if held_lease is not None:
+            self._clear()
         stored = await self._writer.store.read(LEASE_KIND, self.name)
+        if self._is_lost(stored):
+            await self._acquire_lost(stored, only_own=only_own)
+            return
         if stored is None:
             if not only_own:
-                await self._write_lease(None, 1)
+                first = Version(self._era.current, _FIRST)
+                await self._write_lease(None, first.pack())
             return
         document = stored.document
         if document['holder'] == self.holder:
@@ -183,6 +223,40 @@
             self.inherited_holdoff_s = None
             await self._write_lease(stored, document['fence'] + 1)
 
+    def _is_lost(self, stored: StoredObject | None) -> bool:
+        """Return whether the store may have lost what the lease was."""
+        if stored is None:
+            return self._era.may_have_lost
+        written_in = stored.document.get('era', 0)
+        return bool(written_in < Version.unpack(stored.version).era)
+
+    async def _acquire_lost(
+        self, stored: StoredObject | None, *, only_own: bool
+    ) -> None:
+        """Acquire a lost lease, unless another process may still hold it."""
+        now = self._clock.monotonic()
+        if self._lost_at is None:
+            self._lost_at = now
+        is_own = self._is_own_remainder()
+        wait_s = self._duration_s * (1 + CLOCK_RATE_MARGIN)
+        if not is_own and (only_own or now - self._lost_at < wait_s):
+            return
+        self.was_released = False
+        self.inherited_holdoff_s = None
+        if is_own:
+            self.inherited_holdoff_s = self._own_remainder.holdoff_s
+        known = stored.document['fence'] if stored else _FIRST
+        number = Version.unpack(max(known, self._retired_fence)).number
+        fence = Version(self._era.current, number + 1)
+        await self._write_lease(stored, fence.pack())
+
+    def _is_own_remainder(self) -> bool:
+        """Return whether this process held the lease that was lost."""
+        return self._clock.monotonic() < self._own_remainder.until
+
+    def _record_new_era(self) -> None:
+        self._lost_at = self._clock.monotonic()
+
     def _belongs_to_this_machine(self, stored: StoredObject) -> bool:
         machine, _separator, _process = stored.document['holder'].rpartition(
             '.'
@@ -216,6 +290,9 @@
             duration_s=self._duration_s,
             quiet_s=self.holdoff_s,
         )
+        era = self._era.current
+        if era:
+            document['era'] = era
         writer = self._writer
         if base is None:
             written = await writer.create(LEASE_KIND, self.name, document)
@@ -223,8 +300,11 @@
             written = await writer.replace(base, document)
         if written.document['holder'] != self.holder:
             raise VersionConflictError(f'lease {self.name} was taken over')
+        if Version.unpack(written.version).era != era:
+            raise VersionConflictError(f'lease {self.name} may be lost')
         if self._held_lease is None:
             emit_event(LEASE_ACQUIRED, lease=self.name, fence=fence)
+        self._own_remainder = _OwnRemainder(_NEVER, 0)
         self._held_lease = written
         self._valid_until = requested_at + self._duration_s
 
@@ -232,6 +312,10 @@
         if self._held_lease is not None:
             emit_event(LEASE_LOST, lease=self.name, fence=self.fence)
             self._retired_fence = self.fence
+            if self._era.is_past(self._held_lease.version):
+                self._own_remainder = _OwnRemainder(
+                    self._valid_until, self.holdoff_s
+                )
         self._held_lease = None
         self._observation = None
         self._valid_until = _NEVER
