--- a/cassiarail/store/leases.py
+++ b/cassiarail/store/leases.py
@@ -192,12 +192,9 @@
             return
 
     async def _acquire_or_renew(self, *, only_own: bool) -> None:
-        held_lease = self._held_lease
-        if held_lease is not None and not self._era.is_past(held_lease.version):
-            await self._write_lease(held_lease, self.fence)
+        if self._held_lease is not None:
+            await self._write_lease(self._held_lease, self.fence)
             return
-        if held_lease is not None:
-            self._clear()
         stored = await self._writer.store.read(LEASE_KIND, self.name)
         if self._is_lost(stored):
             await self._acquire_lost(stored, only_own=only_own)
--- a/tests/edge/fleet/test_election.py
+++ b/tests/edge/fleet/test_election.py
@@ -474,6 +474,20 @@
     assert third.election.fence > second.election.fence
 
 
+def test_the_wait_for_a_lost_lease_begins_anew_with_each_era():
+    clock, store, (first, second) = make_members('a', 'b')
+    first.compete()
+    copy = store.take_copy()
+    for _ in range(2):
+        store.come_back(copy)
+        second.compete()
+        advance_and_compete(clock, [first], 2 * RULES.lease_s)
+    store.come_back(copy)
+    second.compete()
+    assert first.election.is_held()
+    assert not second.election.is_held()
+
+
 def test_a_machine_does_not_retake_its_lease_from_a_copy():
     clock, store, (first, second) = make_members('a', 'b')
     first.compete()
@@ -560,6 +574,14 @@
         faults = self.members[index].client.injected_faults
         faults.outage = has_outage
 
+    @rule(seconds=st.integers(1, 4))
+    def go_on(self, seconds):
+        for _ in range(10 * seconds):
+            self.clock.advance(0.1)
+            for index in range(HOSTS):
+                self.compete(index)
+                self.check()
+
     def restart(self, index):
         self.restarts += 1
         self.members[index] = EraMember(
