--- a/cassiarail/edge/fleet/presence.py
+++ b/cassiarail/edge/fleet/presence.py
@@ -42,6 +42,7 @@
 from cassiarail.edge.requests.suspects import CrashSuspects
 from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.pool import Address
+from cassiarail.store.eras import Version
 
 _REPORT_INTERVAL_S = 0.5
 # In a large fleet each host reports half as often, so that the leader's link
@@ -100,6 +101,7 @@
         self.count_present = parts.fleet_demand.count_present
         self.list_hosts = parts.list_hosts
         self.on_directory_change: Callable[[], None] = parts.waits.wake
+        self.observe_era: Callable[[int], None] = lambda _era: None
         self._host = host
         self._parts = parts
         self._clock = clock
@@ -279,6 +281,9 @@
         if update.fence < receiver.fence or update.host == self._host:
             return
         is_new_term = update.fence != receiver.fence
+        era = Version.unpack(update.fence).era
+        if era:
+            self.observe_era(era)
         receiver.receive(update)
         self.host_count = max(self.host_count, update.hosts)
         if self.election is not None:
--- a/cassiarail/edge/fleet/quota_exchange.py
+++ b/cassiarail/edge/fleet/quota_exchange.py
@@ -25,6 +25,7 @@
     QuotaLedger,
 )
 from cassiarail.limits.quotas import HostQuotas, UseRow
+from cassiarail.store.leases import is_first_fence
 
 _INTERVAL_S = 1.0
 # Requests that wait are reported together, at most this often.
@@ -151,7 +152,7 @@
     def _begin_term(self, fence: int) -> None:
         if fence != self._term:
             self._term = fence
-            self.ledger.begin_term(is_first=fence == 1)
+            self.ledger.begin_term(is_first=is_first_fence(fence))
 
     def _apply_configuration(self) -> None:
         current = self._configuration.current
