Prefer targets whose machines are fast at the moment

Cause: targets report with a fourth figure how much longer than usual work takes on their machine. It was parsed, but nothing used it, so requests went to a slow machine as often as to a fast one.

--- a/cassiarail/edge/requests/attempts.py
+++ b/cassiarail/edge/requests/attempts.py
@@ -184,8 +184,10 @@
         self._reachability.record_activity(target.identity)
         connection.keep_alive_s = read_keep_alive(response.headers)
         if facts.load is not None:
-            self._earliest_selector.find_usage(target.instance).record_report(
+            self._earliest_selector.record_report(
+                target.instance,
                 facts.load.running + facts.load.waiting,
+                facts.load.slowdown,
                 loop.time(),
             )
         if facts.did_not_run:
