Choose the target by its expected first token

Cause: the choice saw neither the prompt's length and parts, nor the token memory of engines, and sent requests into queues whose length was known too late.

Change: a pure estimator (routing/first_tokens) adds the wait for a place or for token memory to the time for reading what the target doesn't hold of the prompt, on a machine of its speed. The better of two targets drawn at random gets the request. In use only for services with engines whose targets report a slowdown; the others are chosen by load as before. Line 2101 states the longest pause, the expected first token and the kept tokens.

--- a/cassiarail/edge/requests/attempts.py
+++ b/cassiarail/edge/requests/attempts.py
@@ -31,6 +31,7 @@
     is_event_stream,
     split_chunk,
 )
+from cassiarail.edge.requests.target_loads import TargetLoads
 from cassiarail.edge.requests.timeline import Wait
 from cassiarail.http1.connections import ClientConnection
 from cassiarail.http1.messages import (
@@ -42,7 +43,6 @@
 )
 from cassiarail.http1.pool import ConnectionPool
 from cassiarail.limits.byte_budget import ByteBudget
-from cassiarail.routing.earliest import EarliestStartSelector
 from cassiarail.routing.reachability import ReachabilityTracker
 
 _ReadResult = TypeVar('_ReadResult')
@@ -71,7 +71,7 @@
         self,
         pool: ConnectionPool,
         dialect: Dialect,
-        earliest_selector: EarliestStartSelector,
+        loads: TargetLoads,
         reachability: ReachabilityTracker,
         availability: TargetAvailability,
         observer: CrashObserver,
@@ -87,7 +87,7 @@
         self._availability = availability
         self._pool = pool
         self._dialect = dialect
-        self._earliest_selector = earliest_selector
+        self._loads = loads
         self._reachability = reachability
         self._rules = rules or AttemptRules()
         self._abandoned = AbandonedAttempts(pool, dialect)
@@ -98,12 +98,8 @@
         Raises ``CancelledError`` when the caller disconnects or the request
         times out.
         """
-        usage = self._earliest_selector.find_usage(target.instance)
-        usage.own += 1
-        try:
+        with self._loads.track(job, target):
             return await self._run(job, target)
-        finally:
-            usage.own -= 1
 
     async def _run(self, job: Job, target: Target) -> AttemptResult:
         job.timeline.waits_for = Wait.CONNECTION
@@ -184,12 +180,7 @@
         self._reachability.record_activity(target.identity)
         connection.keep_alive_s = read_keep_alive(response.headers)
         if facts.load is not None:
-            self._earliest_selector.record_report(
-                target.instance,
-                facts.load.running + facts.load.waiting,
-                facts.load.slowdown,
-                loop.time(),
-            )
+            self._loads.record_report(target, facts.load, loop.time())
         if facts.did_not_run:
             job.confirm_not_run()
             await self._discard_refusal(connection)
@@ -331,9 +322,7 @@
             if chunk is None:
                 break
             begin_stream(job, head)
-            job.timeline.record_response(loop.time())
-            self._observer.observe_chunk(job)
-            job.newest.active_at = loop.time()
+            self._record_chunk(job, target)
             progress.record(chunk, job.newest.active_at)
             if job.splitter is not None:
                 chunk = split_chunk(job.splitter, chunk)
@@ -352,6 +341,15 @@
         job.exchange.finish_stream()
         return AttemptResult(Outcome.SUCCEEDED, f'status {head.status}')
 
+    def _record_chunk(self, job: Job, target: Target) -> None:
+        now = asyncio.get_running_loop().time()
+        job.timeline.record_response(now)
+        self._observer.observe_chunk(job)
+        if job.newest.began_at is None:
+            job.newest.began_at = now
+            self._loads.record_first_token(job, target, now)
+        job.newest.active_at = now
+
     async def _read_chunk(
         self,
         job: Job,
--- a/cassiarail/edge/requests/jobs.py
+++ b/cassiarail/edge/requests/jobs.py
@@ -83,12 +83,14 @@
     """Hold when a request was sent to a target, and what came back.
 
     ``active_at`` is when it was sent or the target's newest bytes came.
-    ``is_given_up`` shows that the target stalled and another one is used.
+    ``began_at`` is when the first piece of a stream came. ``is_given_up`` shows
+    that the target stalled and another one is used.
     """
 
     def __init__(self, sent_at: float) -> None:
         self.sent_at = sent_at
         self.active_at = sent_at
+        self.began_at: float | None = None
         self.is_given_up = False
         self.answer_began_at: float | None = None
         self.received_head: ReceivedHead | None = None
--- a/cassiarail/edge/requests/parts.py
+++ b/cassiarail/edge/requests/parts.py
@@ -20,9 +20,9 @@
 from cassiarail.edge.requests.memory import build_request_memory
 from cassiarail.edge.requests.runs import RunMonitor
 from cassiarail.edge.requests.selection import TargetSelector
+from cassiarail.edge.requests.target_loads import TargetLoads
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.limits.service_budgets import ServiceBudgets
-from cassiarail.routing.earliest import EarliestStartSelector
 from cassiarail.routing.outliers import OutlierDetector, OutlierRules
 from cassiarail.routing.reachability import ReachabilityTracker
 
@@ -71,7 +71,7 @@
             self._can_eject,
             _EJECTION_RULES,
         )
-        self._earliest_selector = EarliestStartSelector(generator)
+        self._loads = TargetLoads(generator)
         self.listener = CallerListener(
             Address.parse(settings['callers']),
             Forwarder(self._build_forwarding()),
@@ -85,7 +85,7 @@
     def retain(self, instances: Iterable[str]) -> None:
         """Remove what is known of targets that aren't named."""
         retained = frozenset(instances)
-        self._earliest_selector.retain(retained)
+        self._loads.retain(self._dependencies.directory)
         self._outliers.retain(retained)
 
     def change_settings(self, settings: EdgeSettings) -> None:
@@ -103,7 +103,7 @@
             admission=RequestAdmission(shared.dialect, shared.configuration),
             selector=TargetSelector(
                 shared.directory,
-                self._earliest_selector,
+                self._loads,
                 self._outliers,
                 shared.reachability,
                 shared.settings['data_centre'],
@@ -112,7 +112,7 @@
             runner=AttemptRunner(
                 self.pool,
                 shared.dialect,
-                self._earliest_selector,
+                self._loads,
                 shared.reachability,
                 control.availability,
                 control.crashes.build_observer(
--- a/cassiarail/edge/requests/selection.py
+++ b/cassiarail/edge/requests/selection.py
@@ -9,7 +9,8 @@
     TargetDirectory,
 )
 from cassiarail.edge.requests.jobs import Job
-from cassiarail.routing.earliest import Candidate, EarliestStartSelector
+from cassiarail.edge.requests.target_loads import TargetLoads
+from cassiarail.routing.earliest import Candidate
 from cassiarail.routing.holds import TargetHolds
 from cassiarail.routing.outliers import OutlierDetector
 from cassiarail.routing.reachability import ReachabilityTracker
@@ -34,7 +35,7 @@
     def __init__(
         self,
         directory: TargetDirectory,
-        earliest_selector: EarliestStartSelector,
+        loads: TargetLoads,
         outliers: OutlierDetector,
         reachability: ReachabilityTracker,
         data_centre: str,
@@ -42,7 +43,8 @@
     ) -> None:
         self._holds = holds
         self._directory = directory
-        self._earliest_selector = earliest_selector
+        self._loads = loads
+        self._earliest_selector = loads.earliest_selector
         self._outliers = outliers
         self._reachability = reachability
         self._data_centre = data_centre
@@ -65,15 +67,9 @@
             for target in usable
             if not self._outliers.is_ejected(target.instance)
         ]
-        by_instance = {target.instance: target for target in healthy or usable}
-        chosen = self._earliest_selector.choose(
-            [self._make_candidate(target) for target in by_instance.values()],
-            asyncio.get_running_loop().time(),
-        )
-        if chosen is None:
-            return None
-        target = by_instance[chosen.instance]
-        self._reachability.begin_probe(target.identity)
+        target = self._choose_earliest(job, healthy or usable)
+        if target is not None:
+            self._reachability.begin_probe(target.identity)
         return target
 
     def has_alternative(self, job: Job) -> bool:
@@ -142,6 +138,20 @@
                 asyncio.get_running_loop().time() + _MISSING_TTL_S,
             )
 
+    def _choose_earliest(
+        self, job: Job, targets: list[Target]
+    ) -> Target | None:
+        """Return the target that is expected to start a request first."""
+        now = asyncio.get_running_loop().time()
+        if self._loads.can_estimate(job):
+            return self._loads.choose(job, targets, self._data_centre, now)
+        by_instance = {target.instance: target for target in targets}
+        chosen = self._earliest_selector.choose(
+            [self._make_candidate(target) for target in by_instance.values()],
+            now,
+        )
+        return by_instance[chosen.instance] if chosen else None
+
     def _is_missing(self, target: Target, variant: ModelVariant | None) -> bool:
         if variant is None or not self._missing:
             return False
--- a/cassiarail/edge/requests/timeline.py
+++ b/cassiarail/edge/requests/timeline.py
@@ -21,13 +21,20 @@
 class WaitFields(TypedDict):
     """Describe the waits of a request; times are seconds from its arrival.
 
-    A time is ``None`` if the request did not get so far.
+    A time is ``None`` if the request did not get so far. ``expected_s`` is the
+    time to the first token that was estimated when the request was last sent,
+    ``None`` without an estimate, and ``kept_tokens`` what the target was
+    expected to hold of the prompt. ``longest_pause_s`` is the longest time
+    between two parts of the response.
     """
 
     model_wait_s: float
     sent_after_s: float | None
     resent_after_s: float | None
     response_after_s: float | None
+    longest_pause_s: float
+    expected_s: float | None
+    kept_tokens: int
     is_on_time: bool
 
 
@@ -43,6 +50,10 @@
         self._model_wait_s = float(0)
         self._sent_after_s: list[float] = []
         self._response_after_s: float | None = None
+        self._newest_part_at = received_at
+        self._longest_pause_s = float(0)
+        self._expected_s: float | None = None
+        self.kept_tokens = 0
 
     @contextlib.contextmanager
     def time_model_wait(self, read_time: Callable[[], float]) -> Iterator[None]:
@@ -61,6 +72,15 @@
         """Record that a part of a target's response is passed on."""
         if self._response_after_s is None:
             self._response_after_s = round(now - self._received_at, _DIGITS)
+        else:
+            pause_s = now - self._newest_part_at
+            self._longest_pause_s = max(self._longest_pause_s, pause_s)
+        self._newest_part_at = now
+
+    def record_estimate(self, seconds: float, kept_tokens: int) -> None:
+        """Record what is expected of the target that gets the request now."""
+        self._expected_s = round(seconds, _DIGITS)
+        self.kept_tokens = kept_tokens
 
     def describe(self, objective_s: float) -> WaitFields:
         """Return the log fields of a request with this objective."""
@@ -71,5 +91,8 @@
             sent_after_s=sent[0] if sent else None,
             resent_after_s=sent[-1] if len(sent) > 1 else None,
             response_after_s=began,
+            longest_pause_s=round(self._longest_pause_s, _DIGITS),
+            expected_s=self._expected_s,
+            kept_tokens=self.kept_tokens,
             is_on_time=began is not None and began <= objective_s,
         )
--- /dev/null
+++ b/cassiarail/routing/first_tokens.py
@@ -0,0 +1,220 @@
+"""Estimate when each target would send the first token of a request.
+
+The estimate adds the wait for a place, or for token memory, to the time for
+reading what the target doesn't hold of the prompt, both on a machine that may
+be slower than usual. It is pure: times are passed in, in seconds.
+
+Hosts know the same fast targets and learn late where the others send. So each
+request is sent to the better of two targets that are drawn at random.
+"""
+
+import collections
+import math
+import random
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple, TypeVar
+
+from cassiarail.routing.speeds import ServiceSpeeds
+
+# A report counts less as it ages; from this age on, a target is expected to
+# have as many requests of other hosts as is usual.
+_REPORT_LIFETIME_S = 2.0
+# Weight of a new report; single reports are bursty.
+_REPORT_WEIGHT = 0.5
+_MIN_DEVIATION = 0.5
+# Targets that are compared for a request.
+_DRAWN = 2
+# Added for targets in other data centres: traffic between them is priced.
+_REMOTE_S = 0.002
+
+_Target = TypeVar('_Target')
+
+
+class RequestSize(NamedTuple):
+    """State what a request needs: tokens to read, and to generate."""
+
+    prompt_tokens: int
+    output_tokens: int
+
+    @property
+    def total(self) -> int:
+        """Return the tokens for which the request needs memory."""
+        return self.prompt_tokens + self.output_tokens
+
+
+class Place(NamedTuple):
+    """Describe a target that can run a request.
+
+    ``token_capacity`` is its token memory, 0 if unknown, and ``kept_tokens``
+    those that it needn't read of this request's prompt.
+    """
+
+    instance: str
+    service: str
+    slots: int
+    token_capacity: int
+    kept_tokens: int = 0
+    is_local: bool = True
+
+
+class FirstTokenEstimate(NamedTuple):
+    """Hold the expected wait and reading time; their sum is the estimate."""
+
+    wait_s: float
+    reading_s: float
+
+    @property
+    def seconds(self) -> float:
+        """Return the time to the first token."""
+        return self.wait_s + self.reading_s
+
+
+class _TargetWork:
+    """Count own requests at a target and estimate those of other hosts."""
+
+    def __init__(self) -> None:
+        self.own = 0
+        self.own_tokens = 0
+        self._others = float(0)
+        self._reported_at = -math.inf
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether this host has no request at the target."""
+        return not self.own
+
+    def record(self, total: int, now: float) -> float:
+        """Record a reported count; return the requests of other hosts."""
+        others = max(0, total - self.own)
+        if now - self._reported_at > _REPORT_LIFETIME_S:
+            self._others = others
+        else:
+            self._others += _REPORT_WEIGHT * (others - self._others)
+        self._reported_at = now
+        return others
+
+    def estimate_others(self, usual: float, now: float) -> float:
+        """Return the expected requests of other hosts."""
+        age_s = now - self._reported_at
+        freshness = max(0, 1 - age_s / _REPORT_LIFETIME_S)
+        return usual + freshness * (self._others - usual)
+
+
+class FirstTokenEstimator:
+    """Know the work at all targets and estimate what one more would meet."""
+
+    def __init__(self, find_slowdown: Callable[[str, float], float]) -> None:
+        """Call ``find_slowdown`` with an instance and the time."""
+        self._find_slowdown = find_slowdown
+        self._works: collections.defaultdict[str, _TargetWork] = (
+            collections.defaultdict(_TargetWork)
+        )
+        self._speeds: collections.defaultdict[str, ServiceSpeeds] = (
+            collections.defaultdict(ServiceSpeeds)
+        )
+
+    def speeds(self, service: str) -> ServiceSpeeds:
+        """Return what is learned of a service."""
+        return self._speeds[service]
+
+    def begin(self, service: str, instance: str, size: RequestSize) -> None:
+        """Count a request that is sent to a target."""
+        self._speeds[service].record_request(size.total)
+        work = self._works[instance]
+        work.own += 1
+        work.own_tokens += size.total
+
+    def end(self, instance: str, size: RequestSize) -> None:
+        """Stop counting a request."""
+        work = self._works[instance]
+        work.own -= 1
+        work.own_tokens -= size.total
+
+    def record_report(
+        self, service: str, instance: str, total: int, now: float
+    ) -> None:
+        """Record the requests that a target reports, own ones included."""
+        others = self._works[instance].record(total, now)
+        self._speeds[service].record_others(others)
+
+    def retain(self, instances: Iterable[str]) -> None:
+        """Forget targets that are neither named nor in use."""
+        retained = set(instances)
+        for instance in list(self._works):
+            if instance not in retained and self._works[instance].is_idle:
+                self._works.pop(instance)
+
+    def estimate_free_tokens(self, place: Place, now: float) -> float:
+        """Return the token memory that running requests leave."""
+        work = self._works[place.instance]
+        speeds = self._speeds[place.service]
+        others = work.estimate_others(speeds.others, now)
+        used = work.own_tokens + others * speeds.request_tokens
+        return max(0, place.token_capacity - used)
+
+    def choose(
+        self, places: Iterable[Place], size: RequestSize, now: float
+    ) -> Place | None:
+        """Return the place with the earliest expected first token."""
+        return min(
+            places,
+            key=lambda place: (
+                self.estimate(place, size, now).seconds
+                + _REMOTE_S * (not place.is_local)
+            ),
+            default=None,
+        )
+
+    def estimate(
+        self, place: Place, size: RequestSize, now: float
+    ) -> FirstTokenEstimate:
+        """Return when a target would send the first token of a request."""
+        speeds = self._speeds[place.service]
+        work = self._works[place.instance]
+        slowdown = self._find_slowdown(place.instance, now)
+        others = work.estimate_others(speeds.others, now)
+        unread = max(0, size.prompt_tokens - place.kept_tokens)
+        wait_s = speeds.service_s * max(
+            _expect_excess(work.own + 1 - place.slots, others) / place.slots,
+            self._estimate_token_wait(place, size, others),
+        )
+        return FirstTokenEstimate(
+            slowdown * wait_s, slowdown * speeds.estimate_reading(unread)
+        )
+
+    def _estimate_token_wait(
+        self, place: Place, size: RequestSize, others: float
+    ) -> float:
+        """Return the wait for token memory, as a share of a service time.
+
+        In one service time, the running requests give back what they use.
+        """
+        if not place.token_capacity:
+            return 0
+        usual_tokens = self._speeds[place.service].request_tokens
+        own_tokens = self._works[place.instance].own_tokens
+        used = own_tokens + others * usual_tokens
+        if not used:
+            return 0
+        missing = own_tokens + size.total - place.token_capacity
+        excess = _expect_excess(missing / usual_tokens, others)
+        return excess * usual_tokens / used
+
+
+def draw_candidates(
+    generator: random.Random, targets: Sequence[_Target]
+) -> list[_Target]:
+    """Return the targets to compare for one request, in random order."""
+    return generator.sample(targets, min(_DRAWN, len(targets)))
+
+
+def _expect_excess(base: float, others: float) -> float:
+    """Return the expected excess of ``base`` plus others over zero.
+
+    The number of others varies as that of independent arrivals does.
+    """
+    deviation = max(_MIN_DEVIATION, math.sqrt(others))
+    distance = (base + others) / deviation
+    density = math.exp(-distance * distance / 2) / math.sqrt(2 * math.pi)
+    chance = (1 + math.erf(distance / math.sqrt(2))) / 2
+    return deviation * (density + distance * chance)
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -30,6 +30,7 @@
 from cassiarail.edge.requests.runs import RunMonitor
 from cassiarail.edge.requests.selection import TargetSelector
 from cassiarail.edge.requests.suspects import CrashSuspects
+from cassiarail.edge.requests.target_loads import TargetLoads
 from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.assembly import ClientLimits
 from cassiarail.http1.client_memory import build_client_memory
@@ -40,7 +41,6 @@
 from cassiarail.limits.service_budgets import ServiceBudgets
 from cassiarail.limits.shared_budget import BudgetRules
 from cassiarail.platform.dialect import PlatformDialect
-from cassiarail.routing.earliest import EarliestStartSelector
 from cassiarail.routing.holds import TargetHolds
 from cassiarail.routing.outliers import OutlierDetector
 from cassiarail.routing.reachability import ReachabilityTracker
@@ -99,7 +99,7 @@
         self.current_configuration = CurrentConfiguration()
         if configuration is not None:
             self.current_configuration.offer(configuration)
-        earliest_selector = EarliestStartSelector(random.Random(1))
+        loads = TargetLoads(random.Random(1))
         dialect = PlatformDialect()
         self.outliers = OutlierDetector(
             self.clock,
@@ -129,7 +129,7 @@
                 RequestAdmission(dialect, self.current_configuration),
                 TargetSelector(
                     self.directory,
-                    earliest_selector,
+                    loads,
                     self.outliers,
                     self.reachability,
                     'dc',
@@ -138,7 +138,7 @@
                 AttemptRunner(
                     self.pool,
                     dialect,
-                    earliest_selector,
+                    loads,
                     self.reachability,
                     self.availability,
                     CrashObserver(
