Pass on no response whose status is none

Cause: h11 refuses the statuses 000 and 099 but takes 600 and 999, httpx too, so that callers got them as answers of a target; a reason phrase with a DEL byte was taken as well.

Change: both clients of targets read a final status outside 200 to 599 or a reason phrase with control bytes as a lost connection: it counts against the target, a request that runs at most once gets 502, a repeatable one another target.

--- a/cassiarail/http1/connections.py
+++ b/cassiarail/http1/connections.py
@@ -17,6 +17,7 @@
     enable_dead_peer_detection,
     reset_connection,
 )
+from cassiarail.http1.statuses import find_status_problem
 from cassiarail.limits.byte_budget import ByteReservation
 
 # Maximum size of a response head: the largest head that the known
@@ -129,6 +130,9 @@
                     bytes(event.reason),
                     list(event.headers),
                 )
+                problem = find_status_problem(head.status, head.reason)
+                if problem is not None:
+                    raise self._fail(problem)
                 if accept(head):
                     return head
                 await self._skip_response()
--- a/cassiarail/targets/connections.py
+++ b/cassiarail/targets/connections.py
@@ -13,6 +13,7 @@
     IdleTimeoutError,
     TargetError,
 )
+from cassiarail.http1.statuses import find_status_problem
 from cassiarail.limits.byte_budget import ByteBudget, ByteReservation
 from cassiarail.targets.exceptions import ResponseTooLargeError
 
@@ -168,6 +169,7 @@
         response = await _map_errors(transport.handle_async_request(request))
         reservation = self._memory.open(address, lambda: None)
         try:
+            _require_status(response)
             yield TargetResponse(response, reservation)
         finally:
             reservation.release()
@@ -210,6 +212,13 @@
     return f'{base}{path}'
 
 
+def _require_status(response: httpx.Response) -> None:
+    reason = response.extensions.get('reason_phrase', b'')
+    problem = find_status_problem(response.status_code, reason)
+    if problem is not None:
+        raise ConnectionLostError(problem)
+
+
 async def _map_errors(pending: Awaitable[_Returned]) -> _Returned:
     try:
         return await pending
