Leave a place for rare models where engines have three

The first order came 1.4 s after the request in the median (5.1 s at p90), the load 0.2 s later, the model 0.9 s later: swaps are quick, they just aren't begun. In the simulation three in four plans with a rare model waiting could not order one, because the only engine with its weights on disk was full of copies of busy models, which cost more to evict.

Change: where engines have memory for three of the largest models, a further copy of a busy model doesn't take the last place that isn't held by one. The first copy may.

--- a/cassiarail/placement/ondemand.py
+++ b/cassiarail/placement/ondemand.py
@@ -34,6 +34,10 @@
 # At most this share of the engines swaps models whose requests can wait, so
 # that others are free when demand moves to a model whose requests can't.
 _DEFERRABLE_SHARE = 0.34
+# Engines with memory for this many of the largest models keep one place for
+# models whose requests can wait. Otherwise copies of busy models fill all of
+# them, and a rare model, whose weights few engines have, waits for seconds.
+_PLACES_WITH_TURNS = 3
 # Local disks are preferred where a store load takes this many times as long.
 _SLOW_STORE_RATIO = 2.0
 # Cost of keeping an engine busy, in requests per second.
@@ -89,6 +93,13 @@
             for engine in fleet.engines
             for name in engine.in_memory | engine.on_disk
         )
+        self._largest_bytes = max(
+            (each.weights_bytes for each in fleet.models.values()), default=1
+        )
+        self._has_deferrable_demand = any(
+            demand.requests_per_s and self._is_deferrable(name)
+            for name, demand in fleet.demand.items()
+        )
         self._deferrable_swaps = sum(
             self._is_deferrable(engine.loading or engine.intended)
             for engine in fleet.engines
@@ -211,6 +222,8 @@
         gain = self.impact.gain(model, self.impact.utilisation(engine))
         if victims is None or gain <= 0 or eviction_cost > gain:
             return None
+        if self._takes_turn_place(model, engine, victims):
+            return None
         expected_s = find_load_time(model, engine)
         demand = self.impact.demand(model.name)
         delay_s = engine.free_in_s + expected_s
@@ -229,6 +242,33 @@
             expected_s >= model.store_load_s,
         )
 
+    def _takes_turn_place(
+        self, model: ModelFacts, engine: EngineState, victims: tuple[str, ...]
+    ) -> bool:
+        """Return whether a further copy takes the place of swapped models."""
+        if self.impact.is_missing(model.name) or not self._is_busy(model.name):
+            return False
+        places = engine.capacity_bytes // self._largest_bytes
+        if places < _PLACES_WITH_TURNS or not self._has_deferrable_demand:
+            return False
+        remaining = list_models(engine) - set(victims)
+        if not all(map(self._is_busy, remaining)):
+            return False
+        room = self.impact.free_bytes(engine) - model.weights_bytes
+        room += sum(
+            self.impact.memory.held_bytes(engine, name) for name in victims
+        )
+        return room < self._largest_bytes
+
+    def _is_busy(self, name: str) -> bool:
+        """Return whether requests need a model that must stay resident."""
+        facts = self._fleet.models.get(name)
+        return (
+            facts is not None
+            and self.impact.must_stay_resident(facts)
+            and self.impact.demand(name).requests_per_s > 0
+        )
+
     def _choose_victims(
         self,
         model: ModelFacts,
--- a/tests/load/test_swap_fleet.py
+++ b/tests/load/test_swap_fleet.py
@@ -10,6 +10,7 @@
     SwapSimulation,
     plan_by_recency,
 )
+from cassiarail.placement import ondemand
 from cassiarail.placement.fleet import ModelFacts
 from cassiarail.placement.ondemand import plan_steps
 
@@ -88,8 +89,46 @@
 )
 
 
-def simulate(plan, scenario=SCENARIO):
-    return [SwapSimulation(scenario, plan, seed).run() for seed in SEEDS]
+WIDE_HOT = [f'h{number}' for number in range(23)]
+WIDE_RARE = [f'r{number}' for number in range(37)]
+
+
+def make_wide_phase(start_s, first):
+    """Return a phase in which nine of many models get most requests."""
+    hot = [WIDE_HOT[(first + number) % 23] for number in range(9)]
+    return Phase(
+        start_s,
+        {**dict.fromkeys(WIDE_RARE, 0.15), **dict.fromkeys(hot, 9.7)},
+    )
+
+
+# Engines with three places, a slow weight store, and rare models of which most
+# engines have no weights on disk.
+WIDE = Scenario(
+    {
+        name: ModelFacts(name, 72 * GB, 0, 0, 3.0, 0.8, 0.6)
+        for name in WIDE_HOT + WIDE_RARE
+    },
+    [
+        (WIDE_HOT[:9] + WIDE_HOT[:5] + WIDE_RARE)[number:42:14]
+        for number in range(14)
+    ],
+    [
+        make_wide_phase(start_s, first)
+        for start_s, first in ((0, 0), (12, 3), (24, 6))
+    ],
+    {**dict.fromkeys(WIDE_HOT, 0.4), **dict.fromkeys(WIDE_RARE, 2.5)},
+    230 * GB,
+    12,
+    4.0,
+    34,
+    lead_s=12,
+    run_s=1.2,
+)
+
+
+def simulate(plan, scenario=SCENARIO, seeds=SEEDS):
+    return [SwapSimulation(scenario, plan, seed).run() for seed in seeds]
 
 
 def test_fewer_requests_are_late_or_refused_than_by_recency():
@@ -138,3 +177,17 @@
         for outcome in simulate(plan_steps, CROWDED)
     ]
     assert statistics.mean(shortfalls) <= MAX_SHORTFALL
+
+
+def test_copies_of_busy_models_leave_places_for_rare_ones(monkeypatch):
+    # A rare model waited for 5 s: busy ones filled the engine that had it.
+    ours = simulate(plan_steps, WIDE, range(2))
+    monkeypatch.setattr(ondemand, '_PLACES_WITH_TURNS', 99)
+    without = simulate(plan_steps, WIDE, range(2))
+    for own, other in zip(ours, without, strict=True):
+        rare, other_rare = (
+            each.attainment_by_objective[2.5] for each in (own, other)
+        )
+        assert rare > other_rare
+        assert own.refused < other.refused
+        assert own.store_loads < other.store_loads
--- a/tests/placement/test_ondemand.py
+++ b/tests/placement/test_ondemand.py
@@ -343,3 +343,35 @@
     }
     steps = models_only(plan_steps(make_fleet(engines, demand)))
     assert [each.intended for each in steps] == ['c']
+
+
+def list_displaced(held, demand):
+    """Return what a copy of the busy model a displaces on another engine."""
+    engines = [
+        make_engine(name, models, capacity_bytes=220 * GB, slots=12)
+        for name, models in (('x', 'abc'), ('y', held))
+    ]
+    busy = ModelDemand(requests_per_s=9, in_flight=4, objective_s=0.5)
+    busy_demand = {
+        'a': busy._replace(requests_per_s=20, in_flight=14),
+        **dict.fromkeys('bc', busy),
+    }
+    fleet = make_fleet(engines, busy_demand | demand)
+    return {each.model for each in plan_steps(fleet) if each.intended == 'a'}
+
+
+TAKES_TURNS = ModelDemand(requests_per_s=0.2, idle_s=2, objective_s=2.5)
+
+
+def test_a_copy_leaves_a_place_for_models_that_take_turns():
+    # Rare models waited for 5 s: busy ones filled all engines that had them.
+    assert list_displaced('bcd', {'d': TAKES_TURNS}) == set()
+
+
+def test_a_copy_displaces_one_of_two_models_that_take_turns():
+    demand = dict.fromkeys('de', TAKES_TURNS)
+    assert len(list_displaced('bde', demand)) == 1
+
+
+def test_a_copy_takes_any_place_where_no_model_takes_turns():
+    assert list_displaced('bcd', {'d': IDLE._replace(objective_s=0.5)}) == {'d'}
