--- a/cassiarail/edge/events.py
+++ b/cassiarail/edge/events.py
@@ -212,6 +212,21 @@
     level=logging.WARNING,
     summary='lease could not be acquired or renewed; trying again',
 )
+CONFIGURATION_COPY_TOO_LONG = define_event(
+    number=4206,
+    level=logging.WARNING,
+    summary='configuration is too long to be sent to hosts without the store',
+)
+QUOTA_EXCEEDED = define_event(
+    number=2130,
+    level=logging.WARNING,
+    summary='requests of a client account are refused for its quota',
+)
+QUOTA_KEPT = define_event(
+    number=2131,
+    level=logging.INFO,
+    summary='requests of a client account are no longer refused for its quota',
+)
 ABANDONED_RESPONSE_LOST = define_event(
     number=2106,
     level=logging.INFO,
--- a/cassiarail/edge/fleet/messages.py
+++ b/cassiarail/edge/fleet/messages.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from cassiarail.limits.quotas import GrantRow, UseRow
+
 
 class DemandRow(msgspec.Struct, array_like=True):
     """Report the demand for a model or adapter at one host."""
@@ -95,6 +97,7 @@
     time of sending by the host's monotonic clock; it is set if the host
     requests a reply. ``leaving`` lists the targets that accept no requests.
     ``members`` identifies the list of hosts that the host has, or is 0.
+    ``configuration`` is the version that the host applies, or 0.
     """
 
     host: str
@@ -106,6 +109,7 @@
     sent_at: float = 0
     leaving: list[tuple[str, int]] = []
     members: int = 0
+    configuration: int = 0
 
 
 class EngineRow(msgspec.Struct, array_like=True):
@@ -206,6 +210,42 @@
         return bool(self.engines or self.targets or self.gone)
 
 
+class ConfigurationCopy(msgspec.Struct, tag='configuration'):
+    """Carry a configuration; ``document`` is compressed JSON."""
+
+    version: int
+    document: bytes
+
+
+class QuotaReport(
+    msgspec.Struct,
+    tag='use',
+    rename={'fence': 'f', 'started_ms': 'b', 'sent_ms': 's', 'rows': 'r'},
+):
+    """Report the use of client accounts on a host to the leader.
+
+    ``fence`` is the leader's term. ``started_ms`` identifies the process and
+    ``sent_ms`` the report; both are of the host's monotonic clock.
+    """
+
+    fence: int
+    started_ms: int
+    sent_ms: int
+    rows: list[UseRow]
+
+
+class QuotaGrants(
+    msgspec.Struct,
+    tag='grant',
+    rename={'fence': 'f', 'sent_ms': 's', 'rows': 'r'},
+):
+    """Grant units of client accounts; ``sent_ms`` is that of the report."""
+
+    fence: int
+    sent_ms: int
+    rows: list[GrantRow]
+
+
 class Relay(msgspec.Struct, tag='relay'):
     """Carry a datagram that the receiver handles and forwards."""
 
@@ -213,7 +253,15 @@
     addresses: list[str]
 
 
-Message = DemandReport | StateUpdate | CrashReport | Relay
+Message = (
+    DemandReport
+    | StateUpdate
+    | CrashReport
+    | ConfigurationCopy
+    | QuotaReport
+    | QuotaGrants
+    | Relay
+)
 _decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
--- a/cassiarail/edge/fleet/presence.py
+++ b/cassiarail/edge/fleet/presence.py
@@ -11,22 +11,27 @@
 from cassiarail.edge.fleet.applied_rows import apply_rows
 from cassiarail.edge.fleet.broadcast import Broadcaster, Host
 from cassiarail.edge.fleet.changes import ChangeLog
+from cassiarail.edge.fleet.configuration_copies import ConfigurationCopies
 from cassiarail.edge.fleet.demand import DemandMeter
 from cassiarail.edge.fleet.election import LeaderElection
 from cassiarail.edge.fleet.entry_digest import EntryDigest
 from cassiarail.edge.fleet.fleet_demand import FleetDemand, build_demand_rows
 from cassiarail.edge.fleet.members import MemberAnnouncer, MemberList
 from cassiarail.edge.fleet.messages import (
+    ConfigurationCopy,
     CrashReport,
     DemandReport,
     EngineRow,
     ExpectedRow,
-    FailedRequestRow,
     Message,
+    QuotaGrants,
+    QuotaReport,
     Relay,
     StateUpdate,
 )
 from cassiarail.edge.fleet.peers import PeerLink
+from cassiarail.edge.fleet.quota_listener import QuotaListener
+from cassiarail.edge.fleet.rows import list_failed_requests
 from cassiarail.edge.fleet.sent_rows import SentRows
 from cassiarail.edge.fleet.state_updates import REORDER_S, StateUpdateReceiver
 from cassiarail.edge.fleet.traffic import PeerTraffic, TrafficKind
@@ -37,16 +42,13 @@
 from cassiarail.edge.requests.suspects import CrashSuspects
 from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.pool import Address
+from cassiarail.store.eras import Version
 
 _REPORT_INTERVAL_S = 0.5
 # In a large fleet each host reports half as often, so that the leader's link
 # carries all reports.
 _LARGE_FLEET = 20
 _LARGE_FLEET_REPORTS = 2
-# Failed requests are repeated for this long, so that a lost datagram doesn't
-# matter.
-_FAILURES_WITHIN_S = 10.0
-_MAX_FAILURES = 20
 # While the link is idle, urgent reports wait this long to be sent together.
 _BATCH_DELAY_S = 0.002
 # Missed updates are resent only if the link will be free within this time.
@@ -64,7 +66,6 @@
 
     ``store_contact_s`` returns the age of what this host knows of the store,
     or a negative number if nothing has been listed yet.
-    ``get_configuration_version`` returns the version that is applied.
     """
 
     meter: DemandMeter
@@ -78,7 +79,7 @@
     store_contact_s: Callable[[], float]
     list_hosts: Callable[[], Iterable[Host]]
     traffic: PeerTraffic
-    get_configuration_version: Callable[[], int]
+    configurations: ConfigurationCopies
 
 
 class Presence(Component):
@@ -96,12 +97,17 @@
         self.host_count = 0
         self.leader: PlacementLeader | None = None
         self.election: LeaderElection | None = None
+        self.quotas: QuotaListener | None = None
+        self.count_present = parts.fleet_demand.count_present
+        self.list_hosts = parts.list_hosts
         self.on_directory_change: Callable[[], None] = parts.waits.wake
+        self.observe_era: Callable[[int], None] = lambda _era: None
         self._host = host
         self._parts = parts
         self._clock = clock
-        self._link = link
+        self.link = link
         link.on_message = self.handle_message
+        parts.configurations.connect(link.send)
         self._changes = ChangeLog(
             parts.directory,
             self._is_leader,
@@ -125,7 +131,7 @@
 
     async def start(self) -> None:
         """Bind the address for peers."""
-        await self._link.start()
+        await self.link.start()
 
     async def run(self) -> None:
         """Report regularly until cancelled."""
@@ -142,7 +148,12 @@
 
     async def stop(self) -> None:
         """Release the address."""
-        self._link.stop()
+        self.link.stop()
+
+    @property
+    def leader_address(self) -> Address | None:
+        """Return where the leader receives reports, if one was heard."""
+        return self._leader_address
 
     def report_soon(self) -> None:
         """Report as soon as the link has sent the earlier datagrams."""
@@ -162,7 +173,7 @@
             self._parts.fleet_demand.record_report(demand_report)
             self._send_state_updates(is_regular=is_regular)
         elif self._leader_address is not None:
-            self._link.send(
+            self.link.send(
                 demand_report,
                 self._leader_address,
                 TrafficKind.DEMAND_REPORT,
@@ -206,11 +217,19 @@
     def handle_message(self, message: Message, sender: Address) -> None:
         """Handle a message of another host."""
         if isinstance(message, Relay):
-            self._link.relay(message.datagram, message.addresses, sender)
+            self.link.relay(message.datagram, message.addresses, sender)
+            return
+        if isinstance(message, ConfigurationCopy):
+            if self._parts.configurations.receive(message):
+                self.report_soon()
             return
         if isinstance(message, CrashReport):
             self._parts.crash_exchange.receive(message, sender)
             return
+        if isinstance(message, QuotaReport | QuotaGrants):
+            if self.quotas is not None:
+                self.quotas.receive(message, sender)
+            return
         for failure in message.losses:
             self._parts.suspects.record(
                 failure.fingerprint,
@@ -233,8 +252,10 @@
         broadcaster.record_contact(sender)
         self._parts.crash_exchange.peers.record(sender)
         self._announcer.record_digest(report.members)
-        if report.sent_at and self._is_leader():
-            self._reply(report, sender)
+        if self._is_leader():
+            self._parts.configurations.answer(report, sender)
+            if report.sent_at:
+                self._reply(report, sender)
         is_busy = self._parts.traffic.delay_s() > _MAX_LINK_DELAY_S
         if is_busy or not (self._is_leader() and report.is_behind):
             return
@@ -253,13 +274,16 @@
         update = self._make_state_update([])
         update.number = self._parts.broadcaster.number
         update.reply_to = report.sent_at
-        self._link.send(update, sender, TrafficKind.STATE_UPDATE)
+        self.link.send(update, sender, TrafficKind.STATE_UPDATE)
 
     def _handle_state_update(self, update: StateUpdate) -> None:
         receiver = self._parts.receiver
         if update.fence < receiver.fence or update.host == self._host:
             return
         is_new_term = update.fence != receiver.fence
+        era = Version.unpack(update.fence).era
+        if era:
+            self.observe_era(era)
         receiver.receive(update)
         self.host_count = max(self.host_count, update.hosts)
         if self.election is not None:
@@ -275,6 +299,8 @@
         if update.members is not None:
             self._members.receive(update.members)
         self._leader_seen_at = self._clock.monotonic()
+        if self.quotas is not None and not update.is_last:
+            self.quotas.record_contact(update.fence)
         self._set_expected(update.expected)
         if apply_rows(self._parts.directory, update):
             self.on_directory_change()
@@ -298,13 +324,14 @@
         return DemandReport(
             self._host,
             build_demand_rows(self._parts.meter.measure(), self._parts.waits),
-            _list_failed_requests(self._parts.suspects),
+            list_failed_requests(self._parts.suspects),
             receiver.fence,
             receiver.last_received,
             receiver.begin_resend_request(),
             self._clock.monotonic() if receiver.needs_reply else 0,
             self._parts.directory.list_leaving(),
             self._members.digest,
+            self._parts.configurations.get_version(),
         )
 
     def _send_state_updates(self, *, is_regular: bool) -> None:
@@ -316,7 +343,7 @@
         changes = self._changes.pop(_MAX_ROWS)
         self.leader.wake()
         self._set_expected(self.leader.list_expected())
-        version = self._parts.get_configuration_version()
+        version = self._parts.configurations.get_version()
         has_rows = engines or changes.targets or changes.removed
         if is_regular or has_rows or version != self._sent_configuration:
             self._sent_configuration = version
@@ -324,7 +351,7 @@
             update.targets = changes.targets
             update.gone = changes.removed
             if is_regular:
-                update.losses = _list_failed_requests(self._parts.suspects)
+                update.losses = list_failed_requests(self._parts.suspects)
                 update.members = self._announcer.next_page()
             self._sent_rows.record(update.engines)
             self._parts.broadcaster.send(update)
@@ -338,7 +365,7 @@
         self.host_count = max(self.host_count, hosts)
         return StateUpdate(
             self._host,
-            str(self._link.address),
+            str(self.link.address),
             self.election.fence if self.election else 0,
             0,
             self._contact_s(),
@@ -349,7 +376,7 @@
             self._parts.directory.list_leaving(),
             self._clock.monotonic(),
             self._digest.compute() if self._changes.is_empty else 0,
-            self._parts.get_configuration_version(),
+            self._parts.configurations.get_version(),
         )
 
     def _contact_s(self) -> float:
@@ -370,11 +397,3 @@
 
     def _is_leader(self) -> bool:
         return self.leader is not None and self.leader.is_leader
-
-
-def _list_failed_requests(suspects: CrashSuspects) -> list[FailedRequestRow]:
-    recent = suspects.list_recent(_FAILURES_WITHIN_S)
-    return [
-        FailedRequestRow(failure.fingerprint, *failure.target)
-        for failure, _index in zip(recent, range(_MAX_FAILURES), strict=False)
-    ]
--- a/cassiarail/edge/fleet/rows.py
+++ b/cassiarail/edge/fleet/rows.py
@@ -4,10 +4,20 @@
 
 from cassiarail.core.events import emit_event
 from cassiarail.edge.events import PEER_UNREADABLE
-from cassiarail.edge.fleet.messages import EngineRow, TargetRow
+from cassiarail.edge.fleet.messages import (
+    EngineRow,
+    FailedRequestRow,
+    TargetRow,
+)
 from cassiarail.edge.registry.targets import Holdings, Target
+from cassiarail.edge.requests.suspects import CrashSuspects
 from cassiarail.http1.pool import Address
 
+# Failed requests are repeated for this long, so that a lost datagram doesn't
+# matter.
+_FAILURES_WITHIN_S = 10.0
+_MAX_FAILURES = 20
+
 
 def describe_target(target: Target) -> TargetRow:
     """Return the row of an entry of the registry."""
@@ -67,3 +77,12 @@
 
 def _read_models(models: dict[str, list[str]]) -> dict[str, frozenset[str]]:
     return {model: frozenset(names) for model, names in models.items()}
+
+
+def list_failed_requests(suspects: CrashSuspects) -> list[FailedRequestRow]:
+    """Return the rows of recent requests whose targets may have crashed."""
+    recent = suspects.list_recent(_FAILURES_WITHIN_S)
+    return [
+        FailedRequestRow(failure.fingerprint, *failure.target)
+        for failure, _index in zip(recent, range(_MAX_FAILURES), strict=False)
+    ]
--- a/cassiarail/edge/fleet/traffic.py
+++ b/cassiarail/edge/fleet/traffic.py
@@ -26,6 +26,8 @@
     RESEND = 'repeat'
     DEMAND_REPORT = 'digest'
     CRASH_REPORT = 'crashes'
+    CONFIGURATION = 'configuration'
+    QUOTA = 'quota'
 
 
 class TrafficRules(NamedTuple):
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -9,14 +9,17 @@
 from cassiarail.conf.edge import EdgeSettings
 from cassiarail.core.clock import BootClock
 from cassiarail.core.lifecycle import Application, Component
-from cassiarail.edge.control import ControlDependencies, ControlParts
+from cassiarail.edge.control import ControlParts
+from cassiarail.edge.dependencies import ControlDependencies
 from cassiarail.edge.dialect import Dialect
+from cassiarail.edge.fleet.configuration_copies import ConfigurationCopies
 from cassiarail.edge.metrics import EdgeMetrics
 from cassiarail.edge.registry.configuration import CurrentConfiguration
 from cassiarail.edge.registry.parts import RegistryParts
 from cassiarail.edge.registry.targets import TargetDirectory
 from cassiarail.edge.requests.caller_listener import DrainRules
 from cassiarail.edge.requests.parts import RequestDependencies, RequestParts
+from cassiarail.edge.requests.quotas import QuotaMetrics
 from cassiarail.edge.status import MetricsListener, ReadinessListener
 from cassiarail.edge.upkeep import SettingsWatch, Upkeep
 from cassiarail.http1.pool import Address
@@ -70,6 +73,9 @@
             dependencies.dialect,
             self._store,
             self._configuration,
+            ConfigurationCopies(
+                self._configuration, dependencies.dialect, self._clock
+            ),
             self._directory,
             self._reachability,
             self._registry,
@@ -95,6 +101,7 @@
                 self._reachability,
                 self._control,
                 self._metrics,
+                QuotaMetrics(self._registry),
             ),
             self._clock,
             self._generator,
@@ -123,10 +130,12 @@
         return [
             self._registry_parts.watches,
             *self._control.components,
+            self._requests.quota_exchange,
             Upkeep(
                 self._clock,
                 [
                     self._requests.pool.sweep,
+                    self._requests.quotas.end_episodes,
                     self._control.order_pool.sweep,
                     self._registry_parts.targets.expire,
                     self._control.traffic.log_traffic,
--- a/cassiarail/edge/requests/parts.py
+++ b/cassiarail/edge/requests/parts.py
@@ -9,6 +9,7 @@
 from cassiarail.core.clock import Clock
 from cassiarail.edge.control import ControlParts
 from cassiarail.edge.dialect import Dialect
+from cassiarail.edge.fleet.quota_exchange import QuotaExchange
 from cassiarail.edge.metrics import EdgeMetrics
 from cassiarail.edge.registry.configuration import CurrentConfiguration
 from cassiarail.edge.registry.targets import TargetDirectory
@@ -18,11 +19,16 @@
 from cassiarail.edge.requests.forwarding import Forwarder, ForwardingParts
 from cassiarail.edge.requests.load_times import LoadTimeEstimator
 from cassiarail.edge.requests.memory import build_request_memory
+from cassiarail.edge.requests.quotas import (
+    QuotaGate,
+    QuotaMetrics,
+    QuotaParts,
+)
 from cassiarail.edge.requests.runs import RunMonitor
 from cassiarail.edge.requests.selection import TargetSelector
+from cassiarail.edge.requests.target_loads import TargetLoads
 from cassiarail.http1.pool import Address, ConnectionPool, PoolRules
 from cassiarail.limits.service_budgets import ServiceBudgets
-from cassiarail.routing.earliest import EarliestStartSelector
 from cassiarail.routing.outliers import OutlierDetector, OutlierRules
 from cassiarail.routing.reachability import ReachabilityTracker
 
@@ -43,6 +49,7 @@
     reachability: ReachabilityTracker
     control: ControlParts
     metrics: EdgeMetrics
+    quota_metrics: QuotaMetrics
 
 
 class RequestParts:
@@ -60,6 +67,18 @@
         settings = dependencies.settings
         self.pool = ConnectionPool(PoolRules(TARGET_CONNECT_TIMEOUT_S))
         self.memory = build_request_memory(settings)
+        self.quota_exchange = QuotaExchange(
+            dependencies.control.presence, dependencies.configuration, clock
+        )
+        self.quotas = QuotaGate(
+            QuotaParts(
+                self.quota_exchange.quotas,
+                dependencies.quota_metrics,
+                self.quota_exchange.ask_soon,
+            ),
+            clock,
+        )
+        self.quota_exchange.on_grants = self.quotas.wake
         self.budgets = ServiceBudgets(
             clock,
             read_retry_rules(settings),
@@ -71,7 +90,7 @@
             self._can_eject,
             _EJECTION_RULES,
         )
-        self._earliest_selector = EarliestStartSelector(generator)
+        self._loads = TargetLoads(generator)
         self.listener = CallerListener(
             Address.parse(settings['callers']),
             Forwarder(self._build_forwarding()),
@@ -85,7 +104,7 @@
     def retain(self, instances: Iterable[str]) -> None:
         """Remove what is known of targets that aren't named."""
         retained = frozenset(instances)
-        self._earliest_selector.retain(retained)
+        self._loads.retain(self._dependencies.directory)
         self._outliers.retain(retained)
 
     def change_settings(self, settings: EdgeSettings) -> None:
@@ -95,15 +114,19 @@
     def refresh_metrics(self) -> None:
         """Update the gauges before they are read."""
         self.memory.refresh(self._dependencies.metrics)
+        self.quotas.refresh_metrics()
+        self.listener.refresh_metrics()
 
     def _build_forwarding(self) -> ForwardingParts:
         shared = self._dependencies
         control = shared.control
         return ForwardingParts(
-            admission=RequestAdmission(shared.dialect, shared.configuration),
+            admission=RequestAdmission(
+                shared.dialect, shared.configuration, self.quotas
+            ),
             selector=TargetSelector(
                 shared.directory,
-                self._earliest_selector,
+                self._loads,
                 self._outliers,
                 shared.reachability,
                 shared.settings['data_centre'],
@@ -112,7 +135,7 @@
             runner=AttemptRunner(
                 self.pool,
                 shared.dialect,
-                self._earliest_selector,
+                self._loads,
                 shared.reachability,
                 control.availability,
                 control.crashes.build_observer(
