--- a/cassiarail/edge/metrics.py
+++ b/cassiarail/edge/metrics.py
@@ -80,6 +80,21 @@
             registry=registry,
         )
 
+        self._estimate_errors = Histogram(
+            'cassiarail_first_token_error_seconds',
+            'How much later or earlier than expected first tokens came.',
+            ['side'],
+            buckets=_BUCKETS_S,
+            registry=registry,
+        )
+        self._prompt_tokens = Counter(
+            'cassiarail_prompt_tokens_total',
+            'Tokens of prompts, by whether the target was expected to hold'
+            ' them already.',
+            ['kept'],
+            registry=registry,
+        )
+
     def set_limit_counts(self, counts: Mapping[str, int]) -> None:
         """Set how often callers' connections have reached each limit."""
         for name, count in counts.items():
@@ -94,6 +109,16 @@
         """Count an attempt that has ended."""
         self._attempts.labels(outcome).inc()
 
+    def count_first_token(
+        self, error_s: float, prompt_tokens: int, kept_tokens: int
+    ) -> None:
+        """Count a first token whose time was estimated."""
+        side = 'late' if error_s > 0 else 'early'
+        self._estimate_errors.labels(side).observe(abs(error_s))
+        unread = max(0, prompt_tokens - kept_tokens)
+        self._prompt_tokens.labels('no').inc(unread)
+        self._prompt_tokens.labels('yes').inc(prompt_tokens - unread)
+
     def count_quarantined(self) -> None:
         """Count a request that is refused for parts of its prompt."""
         self._quarantined.inc()
--- a/cassiarail/edge/requests/parts.py
+++ b/cassiarail/edge/requests/parts.py
@@ -90,7 +90,7 @@
             self._can_eject,
             _EJECTION_RULES,
         )
-        self._loads = TargetLoads(generator)
+        self._loads = TargetLoads(generator, dependencies.metrics)
         self.listener = CallerListener(
             Address.parse(settings['callers']),
             Forwarder(self._build_forwarding()),
--- a/cassiarail/edge/requests/target_loads.py
+++ b/cassiarail/edge/requests/target_loads.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 
 from cassiarail.edge.dialect import CallerRequest, ReportedLoad
+from cassiarail.edge.metrics import EdgeMetrics
 from cassiarail.edge.registry.targets import ModelVariant, Target
 from cassiarail.edge.requests.jobs import Job
 from cassiarail.routing.earliest import EarliestStartSelector
@@ -29,7 +30,8 @@
 class TargetLoads:
     """Own the records of all targets' work; times are the event loop's."""
 
-    def __init__(self, generator: random.Random) -> None:
+    def __init__(self, generator: random.Random, metrics: EdgeMetrics) -> None:
+        self._metrics = metrics
         self._generator = generator
         self.earliest_selector = EarliestStartSelector(generator)
         self._kept = KeptPrompts()
@@ -99,12 +101,13 @@
         if not self.can_estimate(job):
             return
         self._remember_prompt(job, target, now)
+        seconds = now - job.newest.sent_at
+        self._count(job, seconds)
         head = job.newest.received_head
         load = head.facts.load if head else None
         # After a wait in the target's queue, the time isn't that of reading.
         if load is None or load.waiting or load.running > load.slots:
             return
-        seconds = now - job.newest.sent_at
         self._estimator.speeds(target.service).record_reading(
             max(0, job.request.prompt_tokens - job.timeline.kept_tokens),
             seconds / self._find_slowdown(target.instance, now),
@@ -128,6 +131,16 @@
             (now - began_at) / self._find_slowdown(target.instance, now)
         )
 
+    def _count(self, job: Job, seconds: float) -> None:
+        # The service may have become an estimated one since it was sent.
+        expected_s = job.timeline.expected_s
+        if expected_s is not None:
+            self._metrics.count_first_token(
+                seconds - expected_s,
+                job.request.prompt_tokens,
+                job.timeline.kept_tokens,
+            )
+
     def _remember_prompt(self, job: Job, target: Target, now: float) -> None:
         beginnings = _list_beginnings(job.request)
         free = self._estimator.estimate_free_tokens(
--- a/cassiarail/edge/requests/timeline.py
+++ b/cassiarail/edge/requests/timeline.py
@@ -52,7 +52,7 @@
         self._response_after_s: float | None = None
         self._newest_part_at = received_at
         self._longest_pause_s = float(0)
-        self._expected_s: float | None = None
+        self.expected_s: float | None = None
         self.kept_tokens = 0
 
     @contextlib.contextmanager
@@ -79,7 +79,7 @@
 
     def record_estimate(self, seconds: float, kept_tokens: int) -> None:
         """Record what is expected of the target that gets the request now."""
-        self._expected_s = round(seconds, _DIGITS)
+        self.expected_s = round(seconds, _DIGITS)
         self.kept_tokens = kept_tokens
 
     def describe(self, objective_s: float) -> WaitFields:
@@ -92,7 +92,7 @@
             resent_after_s=sent[-1] if len(sent) > 1 else None,
             response_after_s=began,
             longest_pause_s=round(self._longest_pause_s, _DIGITS),
-            expected_s=self._expected_s,
+            expected_s=self.expected_s,
             kept_tokens=self.kept_tokens,
             is_on_time=began is not None and began <= objective_s,
         )
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -99,7 +99,9 @@
         self.current_configuration = CurrentConfiguration()
         if configuration is not None:
             self.current_configuration.offer(configuration)
-        loads = TargetLoads(random.Random(1))
+        self.metrics_registry = CollectorRegistry()
+        metrics = EdgeMetrics(self.metrics_registry)
+        loads = TargetLoads(random.Random(1), metrics)
         dialect = PlatformDialect()
         self.outliers = OutlierDetector(
             self.clock,
@@ -156,7 +158,7 @@
                 DemandMeter(self.clock),
                 self.suspects,
                 self.quarantines,
-                EdgeMetrics(CollectorRegistry()),
+                metrics,
                 self.claim_probe,
                 budgets.of_service,
                 lambda _service, _variant: self.expected_s,
