Use the settings of quotas, and report use sooner in large fleets

Cause: the window, excess and slack that a deployment states were constants.

Use is reported as soon as it exceeds half of the host's equal part of the pool, a waiting request asks only for what its host doesn't hold, and no useless amounts are granted ahead.

The counts of an account stay now. The part of a host that doesn't know the number of hosts is of 512, not 128.

The sum of the parts in test_parts_of_the_bound_add_up now contains the slack and the return time; nothing is refused is tested at 0.95 instead of 0.9.

--- a/cassiarail/conf/edge.py
+++ b/cassiarail/conf/edge.py
@@ -13,6 +13,7 @@
 from cassiarail.conf.files import RejectedSettingsError, read_json
 from cassiarail.core.checks import CheckMessage
 from cassiarail.http1.pool import Address
+from cassiarail.limits.quota_bounds import DEFAULT_RULES, QuotaRules
 from cassiarail.limits.shared_budget import BudgetRules
 
 
@@ -45,6 +46,9 @@
     service within ``retry_window_s``. ``loads_window_s`` is the window of the
     weight store's rate limit, and ``stop_s`` the time between the stop signal
     and the kill.
+
+    Over any ``quota_window_s``, the use of a client account may exceed its
+    quota by the share ``quota_excess`` and ``quota_slack`` units.
     """
 
     lease_s: float
@@ -53,6 +57,9 @@
     retry_slack: float
     retry_window_s: float
     stop_s: float
+    quota_window_s: NotRequired[float]
+    quota_excess: NotRequired[float]
+    quota_slack: NotRequired[float]
 
 
 class EdgeSettings(TypedDict):
@@ -107,6 +114,16 @@
     )
 
 
+def read_quota_rules(settings: EdgeSettings) -> QuotaRules:
+    """Return how the use of client accounts is measured."""
+    bounds = settings['bounds']
+    return QuotaRules(
+        bounds.get('quota_window_s', DEFAULT_RULES.window_s),
+        bounds.get('quota_excess', DEFAULT_RULES.excess),
+        bounds.get('quota_slack', DEFAULT_RULES.slack),
+    )
+
+
 def _check_values(settings: EdgeSettings) -> list[CheckMessage]:
     addresses = {name: settings[name] for name in _ADDRESS_KEYS}  # type: ignore[literal-required]
     for name in _ENDPOINT_KEYS:
--- a/cassiarail/edge/fleet/quota_exchange.py
+++ b/cassiarail/edge/fleet/quota_exchange.py
@@ -19,6 +19,7 @@
     CurrentConfiguration,
 )
 from cassiarail.http1.pool import Address
+from cassiarail.limits.quota_bounds import DEFAULT_RULES, QuotaRules
 from cassiarail.limits.quota_ledger import (
     HostPresence,
     HostReport,
@@ -27,7 +28,7 @@
 from cassiarail.limits.quotas import HostQuotas, UseRow
 from cassiarail.store.leases import is_first_fence
 
-_INTERVAL_S = 1.0
+_INTERVAL_S = 0.25
 # Requests that wait are reported together, at most this often.
 _ASK_INTERVAL_S = 0.05
 _MS = 1000
@@ -51,9 +52,10 @@
         presence: Presence,
         configuration: CurrentConfiguration,
         clock: Clock,
+        rules: QuotaRules = DEFAULT_RULES,
     ) -> None:
-        self.quotas = HostQuotas(clock, lambda: presence.host_count)
-        self.ledger = QuotaLedger(clock)
+        self.quotas = HostQuotas(clock, lambda: presence.host_count, rules)
+        self.ledger = QuotaLedger(clock, rules)
         self.on_grants: Callable[[], None] = _ignore_grants
         self._link = presence.link
         self._presence = presence
--- a/cassiarail/edge/requests/parts.py
+++ b/cassiarail/edge/requests/parts.py
@@ -4,7 +4,11 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from cassiarail.conf.edge import EdgeSettings, read_retry_rules
+from cassiarail.conf.edge import (
+    EdgeSettings,
+    read_quota_rules,
+    read_retry_rules,
+)
 from cassiarail.conf.global_defaults import TARGET_CONNECT_TIMEOUT_S
 from cassiarail.core.clock import Clock
 from cassiarail.edge.control import ControlParts
@@ -68,7 +72,10 @@
         self.pool = ConnectionPool(PoolRules(TARGET_CONNECT_TIMEOUT_S))
         self.memory = build_request_memory(settings)
         self.quota_exchange = QuotaExchange(
-            dependencies.control.presence, dependencies.configuration, clock
+            dependencies.control.presence,
+            dependencies.configuration,
+            clock,
+            read_quota_rules(settings),
         )
         self.quotas = QuotaGate(
             QuotaParts(
--- a/cassiarail/edge/requests/quotas.py
+++ b/cassiarail/edge/requests/quotas.py
@@ -39,7 +39,7 @@
         )
         self.returned = Counter(
             'cassiarail_quota_returned_units_total',
-            'Units of admitted requests that ended as not run.',
+            'Units given back by requests that ended as not run.',
             ['account'],
             registry=registry,
         )
@@ -72,6 +72,13 @@
         self.units = float(0)
 
 
+class _Charge(NamedTuple):
+    """Hold what a request in progress has spent."""
+
+    units: float
+    spent_at: float
+
+
 class QuotaParts(NamedTuple):
     """Hold the collaborators of a gate.
 
@@ -92,8 +99,7 @@
         self._ask_leader = parts.ask_leader
         self._clock = clock
         self._changed = asyncio.Event()
-        # Units of the requests in progress.
-        self._charges: dict[Job, float] = {}
+        self._charges: dict[Job, _Charge] = {}
         self._episodes: dict[str, _Episode] = {}
 
     async def charge(self, job: Job) -> None:
@@ -112,19 +118,21 @@
         if spend_result.decision is Decision.ASK_LEADER:
             spend_result = await self._wait(account, cost)
         if spend_result.decision is Decision.ADMITTED:
-            self._charges[job] = cost
+            self._charges[job] = _Charge(cost, self._clock.monotonic())
             self._metrics.spent.labels(account.name).inc(cost)
             return
         self._refuse(account, cost, spend_result)
 
     def settle(self, job: Job) -> None:
         """Return the units of a request that has ended without a run."""
-        cost = self._charges.pop(job, None)
+        charge = self._charges.pop(job, None)
         account = job.account
-        if account is None or not cost or job.verdict is not Verdict.NOT_RUN:
+        if account is None or charge is None:
+            return
+        if job.verdict is not Verdict.NOT_RUN:
             return
-        self._quotas.give_back(account, cost)
-        self._metrics.returned.labels(account.name).inc(cost)
+        if self._quotas.give_back(account, charge.units, charge.spent_at):
+            self._metrics.returned.labels(account.name).inc(charge.units)
 
     def wake(self) -> None:
         """Let waiting requests try again."""
--- a/cassiarail/limits/quota_ledger.py
+++ b/cassiarail/limits/quota_ledger.py
@@ -11,7 +11,12 @@
 from typing import NamedTuple
 
 from cassiarail.core.clock import Clock
-from cassiarail.limits.quota_bounds import QuotaBounds, compute_bounds
+from cassiarail.limits.quota_bounds import (
+    DEFAULT_RULES,
+    QuotaBounds,
+    QuotaRules,
+    compute_bounds,
+)
 from cassiarail.limits.quotas import (
     GRANT_S,
     GrantRow,
@@ -26,6 +31,10 @@
 # move to other hosts, and share of the remainder that one host is granted.
 _RESERVED_SHARE = 0.4
 _AHEAD_SHARE = 0.125
+# Less than these shares, of what a host wants ahead and of the pool, would lie
+# idle on it.
+_USEFUL_SHARE = 0.25
+_USEFUL_POOL_SHARE = 0.02
 # An account is short if a larger share of a second's refill was denied.
 _SHORT_SHARE = 0.05
 # Over this time, denied units count towards the time to return.
@@ -139,6 +148,9 @@
         holding = self.holdings[host]
         urgent = min(row.urgent, max(0, math.floor(self.left)))
         ahead = min(row.ahead, self._limit_ahead(urgent, now))
+        useful = self.bounds.pool * _USEFUL_POOL_SHARE
+        if ahead < min(row.ahead * _USEFUL_SHARE, useful):
+            ahead = 0
         units = urgent + ahead
         holding.granted += units
         holding.units += units
@@ -180,8 +192,9 @@
 class QuotaLedger:
     """Count the units of all accounts in one term of the leader."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, rules: QuotaRules = DEFAULT_RULES) -> None:
         self._clock = clock
+        self._rules = rules
         self._began_at = clock.monotonic()
         self._takeover_until = self._began_at
         self._pools: dict[int, _Pool] = {}
@@ -208,7 +221,7 @@
         for number in self._pools.keys() - self._quotas.keys():
             self._pools.pop(number)
         for number, pool in self._pools.items():
-            pool.bounds = compute_bounds(self._quotas[number])
+            pool.bounds = compute_bounds(self._quotas[number], self._rules)
 
     def receive(
         self, report: HostReport, presence: HostPresence
@@ -233,7 +246,9 @@
         pool = self._pools.get(number)
         if pool is None:
             pool = _Pool(
-                compute_bounds(quota), self._began_at, self._takeover_until
+                compute_bounds(quota, self._rules),
+                self._began_at,
+                self._takeover_until,
             )
             self._pools[number] = pool
         return pool
--- a/cassiarail/limits/quotas.py
+++ b/cassiarail/limits/quotas.py
@@ -12,7 +12,14 @@
 from typing import NamedTuple
 
 from cassiarail.core.clock import Clock
-from cassiarail.limits.quota_bounds import QuotaBounds, compute_bounds
+from cassiarail.limits.quota_bounds import (
+    DEFAULT_RULES,
+    RETURN_S,
+    QuotaBounds,
+    QuotaRules,
+    compute_bounds,
+)
+from cassiarail.limits.quota_use import RecentUse
 from cassiarail.security.accounts import ClientAccount
 
 # Units that the leader has not confirmed for this long are not spent.
@@ -21,19 +28,16 @@
 ALONE_AFTER_S = 2.0
 # Units of an account in use are confirmed again this long before they expire.
 _RENEW_S = 2.5
-# An account that isn't used for this long gives its units back, unless they are
-# for fewer than some requests; those are left to expire.
-_IDLE_S = 1.5
+# An account that isn't used gives its units back, unless they are for fewer
+# than some requests; those are left to expire.
 _LEFT_REQUESTS = 0.5
 # A row is sent again after this time.
-_REPEAT_S = 0.6
-# Units are requested for this time of recent use, and for some requests more.
-_AHEAD_S = 6.0
-_AHEAD_REQUESTS = 2
-_USE_DECAY_S = 2.0
-_COST_WEIGHT = 0.25
+_REPEAT_S = 0.9
 # Below this share of what is held ahead, units run low.
 _LOW_SHARE = 0.5
+# What was spent is reported at this share of a host's equal part of the pool;
+# the leader refills it only then.
+_UNREPORTED_SHARE = 0.5
 # Rows with less than this share are sent along with those that are due.
 _ALONG_SHARE = 0.8
 # The leader isn't asked again for this long after it has denied units.
@@ -41,7 +45,7 @@
 _MIN_RETRY_S = 0.2
 _MAX_RETRY_S = 2.0
 # Hosts until they are counted; a small part harms least.
-_UNKNOWN_HOSTS = 128
+_UNKNOWN_HOSTS = 512
 _MS = 1000
 _NEVER = float('-inf')
 
@@ -93,35 +97,6 @@
     return zlib.crc32(name.encode())
 
 
-class _RecentUse:
-    """Estimate how fast an account's units are used on this host."""
-
-    def __init__(self, now: float) -> None:
-        self.used_at = now
-        self._units = float(0)
-        self.mean_cost = float(0)
-
-    def record(self, cost: float, now: float) -> None:
-        """Count the units of a request."""
-        self._units = self._decay(now) + cost
-        self.used_at = now
-        self.mean_cost += (cost - self.mean_cost) * _COST_WEIGHT
-
-    def is_idle(self, now: float) -> bool:
-        """Return whether the account wasn't used for some time."""
-        return now - self.used_at > _IDLE_S
-
-    def compute_target(self, now: float) -> float:
-        """Return the units to hold for the requests to come."""
-        if self.is_idle(now):
-            return 0
-        ahead = self._decay(now) / _USE_DECAY_S * _AHEAD_S
-        return ahead + self.mean_cost * _AHEAD_REQUESTS
-
-    def _decay(self, now: float) -> float:
-        return self._units * math.exp((self.used_at - now) / _USE_DECAY_S)
-
-
 class _AccountUnits:
     """Hold the units of one account on this host."""
 
@@ -134,12 +109,13 @@
         self.expires_at = _NEVER
         self.received = 0
         self.spent = float(0)
+        self.reported = float(0)
         self.urgent = float(0)
         self.denied_until = _NEVER
         self.retry_after_s = float(0)
         self.alone = float(0)
         self.alone_at = now
-        self.use = _RecentUse(now)
+        self.use = RecentUse(now)
         self.sent_at = _NEVER
 
     def change_bounds(
@@ -164,8 +140,14 @@
     ``count_hosts`` returns the number of hosts, or 0 if it is unknown.
     """
 
-    def __init__(self, clock: Clock, count_hosts: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        count_hosts: Callable[[], int],
+        rules: QuotaRules = DEFAULT_RULES,
+    ) -> None:
         self._clock = clock
+        self._rules = rules
         self._count_hosts = count_hosts
         self._units: dict[int, _AccountUnits] = {}
         self._started_at = clock.monotonic()
@@ -203,6 +185,7 @@
         for units in self._units.values():
             units.received = 0
             units.spent = 0
+            units.reported = 0
             units.sent_at = _NEVER
         self._fence = fence
 
@@ -223,13 +206,23 @@
             return SpendResult(Decision.ADMITTED)
         return self._decide(units, cost, now)
 
-    def give_back(self, account: ClientAccount, cost: float) -> None:
-        """Return the units of a request that has not run."""
+    def give_back(
+        self, account: ClientAccount, cost: float, spent_at: float
+    ) -> bool:
+        """Return the units of a request that has not run.
+
+        Only those spent a short time ago come back: what was refilled for
+        the others since then may be in use.
+        """
         now = self._clock.monotonic()
         units = self._find(account, now)
-        if units is not None and now < units.expires_at:
-            units.held += cost
-            units.spent -= cost
+        if units is None or now - spent_at > RETURN_S:
+            return False
+        if now >= units.expires_at:
+            return False
+        units.held += cost
+        units.spent -= cost
+        return True
 
     def change_urgent(self, account: ClientAccount, cost: float) -> None:
         """Change the units that waiting requests need."""
@@ -285,17 +278,19 @@
     def _find(self, account: ClientAccount, now: float) -> _AccountUnits | None:
         number = identify_account(account.name)
         if account.quota is None:
-            self._units.pop(number, None)
+            # The counts stay: the leader may not see this configuration.
             return None
         units = self._units.get(number)
         if units is None:
-            bounds = compute_bounds(account.quota)
+            bounds = compute_bounds(account.quota, self._rules)
             units = _AccountUnits(account, bounds, now)
             self._units[number] = units
             if not self._has_heard:
                 units.alone = bounds.fresh / self.hosts
         elif account.quota != units.account.quota:
-            units.change_bounds(account, compute_bounds(account.quota))
+            units.change_bounds(
+                account, compute_bounds(account.quota, self._rules)
+            )
         return units
 
     def _decide(
@@ -342,7 +337,7 @@
         for units in self._units.values():
             units.expire(now)
         is_due = any(
-            units.urgent > 0 if is_urgent else _is_due(units, now, _LOW_SHARE)
+            units.urgent > 0 if is_urgent else self._is_due(units, now)
             for units in self._units.values()
         )
         if not is_due:
@@ -350,12 +345,21 @@
         return [
             _make_row(number, units, now)
             for number, units in self._units.items()
-            if units.urgent > 0 or _is_due(units, now, _ALONG_SHARE)
+            if units.urgent > 0
+            or self._is_due(units, now)
+            or _is_low(units, now, _ALONG_SHARE)
         ]
 
+    def _is_due(self, units: _AccountUnits, now: float) -> bool:
+        """Return whether the leader should receive the row of an account."""
+        unreported = units.spent - units.reported
+        if unreported > units.bounds.pool * _UNREPORTED_SHARE / self.hosts:
+            return True
+        return _is_low(units, now, _LOW_SHARE)
+
 
-def _is_due(units: _AccountUnits, now: float, low_share: float) -> bool:
-    """Return whether the leader should receive the row of an account."""
+def _is_low(units: _AccountUnits, now: float, low_share: float) -> bool:
+    """Return whether units run low, expire or are to be given back."""
     if now - units.sent_at < _REPEAT_S:
         return False
     if units.use.is_idle(now):
@@ -369,6 +373,7 @@
     target = units.use.compute_target(now)
     units.expire(now)
     units.sent_at = now
+    units.reported = units.spent
     if not target:
         units.held = 0
     return UseRow(
@@ -376,7 +381,7 @@
         math.ceil(units.spent),
         units.received,
         math.floor(units.held),
-        math.ceil(units.urgent),
+        math.ceil(max(0, units.urgent - units.held)),
         math.ceil(max(0, target - units.held)),
     )
 
--- a/tests/limits/quota_fleet.py
+++ b/tests/limits/quota_fleet.py
@@ -11,6 +11,7 @@
     QuotaReport,
     encode_message,
 )
+from cassiarail.limits.quota_bounds import QuotaRules
 from cassiarail.limits.quota_ledger import (
     HostPresence,
     HostReport,
@@ -22,10 +23,11 @@
 WINDOW_S = 8.0
 OVER = 1.1
 SLACK = 7500
+RULES = QuotaRules(WINDOW_S, OVER - 1, SLACK)
 RATE = 200_841
 WAIT_S = 0.15
 ASK_EVERY_S = 0.05
-TICK_S = 1.0
+TICK_S = 0.25
 UPDATE_S = 0.5
 IN_TOUCH_S = 1.5
 MS = 1000
@@ -52,8 +54,10 @@
         self.is_up = True
         self.leader = None
         self.host_count = 0
-        self.quotas = HostQuotas(self.fleet.clock, lambda: self.host_count)
-        self.ledger = QuotaLedger(self.fleet.clock)
+        self.quotas = HostQuotas(
+            self.fleet.clock, lambda: self.host_count, RULES
+        )
+        self.ledger = QuotaLedger(self.fleet.clock, RULES)
         self.ledger.change_accounts(self.fleet.accounts)
         self.heard_at = {}
         self.asked_at = float('-inf')
@@ -80,6 +84,8 @@
         self.spends = collections.defaultdict(list)
         self.asked = collections.Counter()
         self.refused = collections.Counter()
+        self.returned_after_s = 0
+        self.returns_until = 0
         self.bytes = 0
         self.datagrams = 0
         self.lead(self.hosts[0])
@@ -216,6 +222,11 @@
             return
         self.end(host, account, cost, result)
 
+    def return_after(self, seconds, until):
+        """Let requests end without a run, some time after they came."""
+        self.returned_after_s = seconds
+        self.returns_until = until
+
     def wait(self, host, quotas, account, cost, until):
         if host.quotas is not quotas or not host.runs():
             return
@@ -232,6 +243,15 @@
 
     def end(self, host, account, cost, result):
         if result.decision is Decision.ADMITTED:
+            if self.now < self.returns_until:
+                self.later(
+                    self.returned_after_s,
+                    host.quotas.give_back,
+                    account,
+                    cost,
+                    self.now,
+                )
+                return
             self.spends[account.name].append((self.now, cost))
         else:
             self.refused[account.name] += cost
--- a/tests/limits/test_quotas.py
+++ b/tests/limits/test_quotas.py
@@ -6,9 +6,11 @@
 
 import pytest
 
-from cassiarail.limits.quota_bounds import compute_bounds
+from cassiarail.limits.quota_bounds import RETURN_S, compute_bounds
 from tests.limits.quota_fleet import (
     RATE,
+    RULES,
+    SLACK,
     Fleet,
     make_account,
     moving,
@@ -35,7 +37,7 @@
 @pytest.mark.parametrize('count', [6, 91, 380])
 @pytest.mark.parametrize('place', PLACES)
 def test_nothing_is_refused_below_the_quota(count, place):
-    fleet, account = play(count, 1, share=0.9, pick=PLACES[place])
+    fleet, account = play(count, 1, share=0.95, pick=PLACES[place])
     assert fleet.refused_share(account) <= 0.005
     assert fleet.worst_share(account) <= 1
 
@@ -161,8 +163,34 @@
 @pytest.mark.parametrize('burst', [0, 1, 100, RATE])
 def test_parts_of_the_bound_add_up(burst):
     quota = make_account('a', RATE, burst).quota
-    bounds = compute_bounds(quota)
+    bounds = compute_bounds(quota, RULES)
     stock = bounds.pool + bounds.fresh + bounds.takeover
-    allowed = 1.1 * (8 * RATE + burst)
-    assert stock + 8 * bounds.refill_per_s == pytest.approx(allowed)
+    allowed = 1.1 * (8 * RATE + burst) + SLACK
+    # What is given back may be of before the window.
+    added = (8 + RETURN_S) * bounds.refill_per_s
+    assert stock + added == pytest.approx(allowed)
     assert stock > burst
+
+
+def test_units_of_requests_that_have_not_run_stay_within_the_bound():
+    account = make_account('a')
+    fleet = Fleet(6, [account], 1)
+    fleet.run(2)
+    # Until 9, hosts are so full that no request runs.
+    fleet.return_after(3.0, until=9)
+    fleet.play(account, RATE * 2.4, on_all, 24)
+    fleet.run(22)
+    assert fleet.worst_share(account) <= 1
+
+
+def test_quota_that_was_removed_for_a_time_binds_as_before():
+    account = make_account('a')
+    unlimited = account._replace(quota=None)
+    fleet = Fleet(6, [account], 1)
+    fleet.run(2)
+    fleet.play(account, RATE * 2.4, on_all, 24)
+    for host in fleet.hosts:
+        # The leader applies both configurations at once.
+        fleet.later(10, host.quotas.try_spend, unlimited, 1)
+    fleet.run(22)
+    assert fleet.worst_share(account) <= 1
