Share the loads that targets report between the hosts

Cause: in a large fleet a host sends each engine too few requests to know its queue.

Change: hosts put the newest loads that targets reported to them in their demand reports; the leader repeats those of all hosts in its regular updates. Only loads that state a slowdown are shared, so that earlier deployments send nothing new. PresenceParts has a module of its own.

--- a/cassiarail/edge/control.py
+++ b/cassiarail/edge/control.py
@@ -20,7 +20,8 @@
 from cassiarail.edge.fleet.fleet_demand import FleetDemand
 from cassiarail.edge.fleet.hosts import HostRegistry
 from cassiarail.edge.fleet.peers import PeerLink
-from cassiarail.edge.fleet.presence import Presence, PresenceParts
+from cassiarail.edge.fleet.presence import Presence
+from cassiarail.edge.fleet.presence_parts import PresenceParts
 from cassiarail.edge.fleet.state_updates import StateUpdateReceiver
 from cassiarail.edge.fleet.traffic import PeerTraffic, TrafficRules
 from cassiarail.edge.registry.availability import TargetAvailability
@@ -143,6 +144,7 @@
                 self._hosts.list_current,
                 self.traffic,
                 self._dependencies.copies,
+                self._dependencies.loads,
             ),
             clock,
         )
--- a/cassiarail/edge/dependencies.py
+++ b/cassiarail/edge/dependencies.py
@@ -7,6 +7,7 @@
 from cassiarail.conf.edge import EdgeSettings
 from cassiarail.edge.dialect import Dialect
 from cassiarail.edge.fleet.configuration_copies import ConfigurationCopies
+from cassiarail.edge.fleet.load_exchange import LoadExchange
 from cassiarail.edge.registry.configuration import CurrentConfiguration
 from cassiarail.edge.registry.targets import TargetDirectory
 from cassiarail.routing.reachability import ReachabilityTracker
@@ -21,6 +22,7 @@
     store: ObservedStore
     configuration: CurrentConfiguration
     copies: ConfigurationCopies
+    loads: LoadExchange
     directory: TargetDirectory
     reachability: ReachabilityTracker
     registry: CollectorRegistry
--- a/cassiarail/edge/fleet/messages.py
+++ b/cassiarail/edge/fleet/messages.py
@@ -26,6 +26,14 @@
     objective_s: float = 0
 
 
+class LoadRow(msgspec.Struct, array_like=True):
+    """Report how many requests a target had ``age_ms`` ago."""
+
+    instance: str
+    requests: int
+    age_ms: int
+
+
 class FailedRequestRow(msgspec.Struct, array_like=True):
     """Report a request whose target may have crashed while running it."""
 
@@ -97,7 +105,8 @@
     time of sending by the host's monotonic clock; it is set if the host
     requests a reply. ``leaving`` lists the targets that accept no requests.
     ``members`` identifies the list of hosts that the host has, or is 0.
-    ``configuration`` is the version that the host applies, or 0.
+    ``configuration`` is the version that the host applies, or 0. ``loads`` are
+    those that targets have reported to the host since its last report.
     """
 
     host: str
@@ -110,6 +119,7 @@
     leaving: list[tuple[str, int]] = []
     members: int = 0
     configuration: int = 0
+    loads: list[LoadRow] = []
 
 
 class EngineRow(msgspec.Struct, array_like=True):
@@ -182,7 +192,8 @@
     of the report that the update replies to, if any.
     ``hosts`` counts the registered hosts; ``is_last`` ends the term.
     ``leaving`` lists the identities of targets that accept no new requests.
-    ``members`` lists some of the hosts, in turn.
+    ``members`` lists some of the hosts, in turn. ``loads`` are the newest that
+    targets have reported to any host.
     """
 
     host: str
@@ -203,6 +214,7 @@
     gone: list[RemovedRow] = []
     is_last: bool = False
     members: MemberPage | None = None
+    loads: list[LoadRow] = []
 
     @property
     def has_rows(self) -> bool:
--- a/cassiarail/edge/fleet/presence.py
+++ b/cassiarail/edge/fleet/presence.py
@@ -2,20 +2,15 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 from cassiarail.core.clock import Clock
 from cassiarail.core.lifecycle import Component
-from cassiarail.edge.crashes.exchange import CrashExchange
 from cassiarail.edge.engines.leader import PlacementLeader
 from cassiarail.edge.fleet.applied_rows import apply_rows
-from cassiarail.edge.fleet.broadcast import Broadcaster, Host
 from cassiarail.edge.fleet.changes import ChangeLog
-from cassiarail.edge.fleet.configuration_copies import ConfigurationCopies
-from cassiarail.edge.fleet.demand import DemandMeter
 from cassiarail.edge.fleet.election import LeaderElection
 from cassiarail.edge.fleet.entry_digest import EntryDigest
-from cassiarail.edge.fleet.fleet_demand import FleetDemand, build_demand_rows
+from cassiarail.edge.fleet.fleet_demand import build_demand_rows
 from cassiarail.edge.fleet.members import MemberAnnouncer, MemberList
 from cassiarail.edge.fleet.messages import (
     ConfigurationCopy,
@@ -30,17 +25,15 @@
     StateUpdate,
 )
 from cassiarail.edge.fleet.peers import PeerLink
+from cassiarail.edge.fleet.presence_parts import PresenceParts
 from cassiarail.edge.fleet.quota_listener import QuotaListener
 from cassiarail.edge.fleet.rows import list_failed_requests
 from cassiarail.edge.fleet.sent_rows import SentRows
-from cassiarail.edge.fleet.state_updates import REORDER_S, StateUpdateReceiver
-from cassiarail.edge.fleet.traffic import PeerTraffic, TrafficKind
+from cassiarail.edge.fleet.state_updates import REORDER_S
+from cassiarail.edge.fleet.traffic import TrafficKind
 from cassiarail.edge.registry.targets import (
-    TargetDirectory,
     mark_all_leaving,
 )
-from cassiarail.edge.requests.suspects import CrashSuspects
-from cassiarail.edge.requests.waiting import PlacementWaits
 from cassiarail.http1.pool import Address
 from cassiarail.store.eras import Version
 
@@ -61,27 +54,6 @@
 _LEADER_TIMEOUT_S = 2.0
 
 
-class PresenceParts(NamedTuple):
-    """Hold the collaborators of the exchange with other hosts.
-
-    ``store_contact_s`` returns the age of what this host knows of the store,
-    or a negative number if nothing has been listed yet.
-    """
-
-    meter: DemandMeter
-    fleet_demand: FleetDemand
-    suspects: CrashSuspects
-    crash_exchange: CrashExchange
-    directory: TargetDirectory
-    waits: PlacementWaits
-    broadcaster: Broadcaster
-    receiver: StateUpdateReceiver
-    store_contact_s: Callable[[], float]
-    list_hosts: Callable[[], Iterable[Host]]
-    traffic: PeerTraffic
-    configurations: ConfigurationCopies
-
-
 class Presence(Component):
     """Send demand reports to the leader, or state updates as the leader."""
 
@@ -244,6 +216,7 @@
         self, report: DemandReport, sender: Address
     ) -> None:
         self._parts.fleet_demand.record_report(report)
+        self._parts.loads.receive(report.loads)
         if mark_all_leaving(self._parts.directory, report.leaving):
             self.on_directory_change()
         if self.leader is not None:
@@ -301,6 +274,7 @@
         self._leader_seen_at = self._clock.monotonic()
         if self.quotas is not None and not update.is_last:
             self.quotas.record_contact(update.fence)
+        self._parts.loads.receive(update.loads)
         self._set_expected(update.expected)
         if apply_rows(self._parts.directory, update):
             self.on_directory_change()
@@ -332,6 +306,7 @@
             self._parts.directory.list_leaving(),
             self._members.digest,
             self._parts.configurations.get_version(),
+            self._parts.loads.list_own(),
         )
 
     def _send_state_updates(self, *, is_regular: bool) -> None:
@@ -353,6 +328,7 @@
             if is_regular:
                 update.losses = list_failed_requests(self._parts.suspects)
                 update.members = self._announcer.next_page()
+                update.loads = self._parts.loads.list_all()
             self._sent_rows.record(update.engines)
             self._parts.broadcaster.send(update)
             self._parts.waits.wake()
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -13,6 +13,7 @@
 from cassiarail.edge.dependencies import ControlDependencies
 from cassiarail.edge.dialect import Dialect
 from cassiarail.edge.fleet.configuration_copies import ConfigurationCopies
+from cassiarail.edge.fleet.load_exchange import LoadExchange
 from cassiarail.edge.metrics import EdgeMetrics
 from cassiarail.edge.registry.configuration import CurrentConfiguration
 from cassiarail.edge.registry.parts import RegistryParts
@@ -76,6 +77,7 @@
             ConfigurationCopies(
                 self._configuration, dependencies.dialect, self._clock
             ),
+            LoadExchange(self._clock),
             self._directory,
             self._reachability,
             self._registry,
@@ -102,6 +104,7 @@
                 self._control,
                 self._metrics,
                 QuotaMetrics(self._registry),
+                control_dependencies.loads,
             ),
             self._clock,
             self._generator,
--- a/cassiarail/edge/requests/parts.py
+++ b/cassiarail/edge/requests/parts.py
@@ -13,6 +13,7 @@
 from cassiarail.core.clock import Clock
 from cassiarail.edge.control import ControlParts
 from cassiarail.edge.dialect import Dialect
+from cassiarail.edge.fleet.load_exchange import LoadExchange
 from cassiarail.edge.fleet.quota_exchange import QuotaExchange
 from cassiarail.edge.metrics import EdgeMetrics
 from cassiarail.edge.registry.configuration import CurrentConfiguration
@@ -54,6 +55,7 @@
     control: ControlParts
     metrics: EdgeMetrics
     quota_metrics: QuotaMetrics
+    loads: LoadExchange
 
 
 class RequestParts:
@@ -97,7 +99,10 @@
             self._can_eject,
             _EJECTION_RULES,
         )
-        self._loads = TargetLoads(generator, dependencies.metrics)
+        self._loads = TargetLoads(
+            generator, dependencies.metrics, dependencies.loads.record
+        )
+        dependencies.loads.on_load = self._loads.record_shared
         self.listener = CallerListener(
             Address.parse(settings['callers']),
             Forwarder(self._build_forwarding()),
--- a/cassiarail/edge/requests/target_loads.py
+++ b/cassiarail/edge/requests/target_loads.py
@@ -7,7 +7,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from cassiarail.edge.dialect import CallerRequest, ReportedLoad
 from cassiarail.edge.metrics import EdgeMetrics
@@ -30,8 +30,15 @@
 class TargetLoads:
     """Own the records of all targets' work; times are the event loop's."""
 
-    def __init__(self, generator: random.Random, metrics: EdgeMetrics) -> None:
+    def __init__(
+        self,
+        generator: random.Random,
+        metrics: EdgeMetrics,
+        share: Callable[[str, int], None],
+    ) -> None:
+        """Call ``share`` with the loads that other hosts should know."""
         self._metrics = metrics
+        self._share = share
         self._generator = generator
         self.earliest_selector = EarliestStartSelector(generator)
         self._kept = KeptPrompts()
@@ -95,6 +102,12 @@
         )
         if load.slowdown is not None:
             self._estimated_services.add(target.service)
+            self._share(target.instance, total)
+
+    def record_shared(self, instance: str, requests: int, age_s: float) -> None:
+        """Record a load that a target reported to another host."""
+        reported_at = asyncio.get_running_loop().time() - age_s
+        self._estimator.record_shared(instance, requests, reported_at)
 
     def record_first_token(self, job: Job, target: Target, now: float) -> None:
         """Record that a target has read a request's prompt."""
--- a/cassiarail/routing/first_tokens.py
+++ b/cassiarail/routing/first_tokens.py
@@ -78,6 +78,11 @@
         self._others = float(0)
         self._reported_at = -math.inf
 
+    @property
+    def reported_at(self) -> float:
+        """Return when the newest report was made."""
+        return self._reported_at
+
     @property
     def is_idle(self) -> bool:
         """Return whether this host has no request at the target."""
@@ -137,6 +142,17 @@
         others = self._works[instance].record(total, now)
         self._speeds[service].record_others(others)
 
+    def record_shared(
+        self, instance: str, total: int, reported_at: float
+    ) -> None:
+        """Record the requests that a target has reported to another host.
+
+        A later report to this host goes before it.
+        """
+        work = self._works[instance]
+        if reported_at > work.reported_at:
+            work.record(total, reported_at)
+
     def retain(self, instances: Iterable[str]) -> None:
         """Forget targets that are neither named nor in use."""
         retained = set(instances)
--- a/tests/edge/fleet/test_presence.py
+++ b/tests/edge/fleet/test_presence.py
@@ -18,9 +18,11 @@
 from cassiarail.edge.fleet.configuration_copies import ConfigurationCopies
 from cassiarail.edge.fleet.demand import DemandMeter
 from cassiarail.edge.fleet.fleet_demand import FleetDemand
+from cassiarail.edge.fleet.load_exchange import LoadExchange
 from cassiarail.edge.fleet.messages import EngineRow
 from cassiarail.edge.fleet.peers import PeerLink
-from cassiarail.edge.fleet.presence import Presence, PresenceParts
+from cassiarail.edge.fleet.presence import Presence
+from cassiarail.edge.fleet.presence_parts import PresenceParts
 from cassiarail.edge.fleet.state_updates import StateUpdateReceiver
 from cassiarail.edge.fleet.traffic import PeerTraffic, TrafficRules
 from cassiarail.edge.registry.configuration import CurrentConfiguration
@@ -145,6 +147,7 @@
         self.directory = TargetDirectory(clock.monotonic)
         self.receiver = StateUpdateReceiver(clock)
         self.meter = DemandMeter(clock)
+        self.loads = LoadExchange(clock)
         self.configuration = CurrentConfiguration()
         self.copies = ConfigurationCopies(
             self.configuration, PlatformDialect(), clock
@@ -177,6 +180,7 @@
                 lambda: hosts,
                 traffic,
                 self.copies,
+                self.loads,
             ),
             clock,
         )
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -101,7 +101,7 @@
             self.current_configuration.offer(configuration)
         self.metrics_registry = CollectorRegistry()
         metrics = EdgeMetrics(self.metrics_registry)
-        loads = TargetLoads(random.Random(1), metrics)
+        loads = TargetLoads(random.Random(1), metrics, lambda *_load: None)
         dialect = PlatformDialect()
         self.outliers = OutlierDetector(
             self.clock,
