Test what hosts keep and write again in a new era

Cause: rows of the table in docs/design/store-era.md had no test: the configuration and keys taken away, drains, entries of hosts, quarantines.

A fault found on the way: a target that was removed, and that comes back with a copy, is held back for 6 s and then used if it is still listed. It never was: the listing that showed the entry is as new as the entry, and so counted as having shown its removal. The target was used only after its next write.

--- a/cassiarail/edge/registry/restored.py
+++ b/cassiarail/edge/registry/restored.py
@@ -80,6 +80,13 @@
         self._removals.pop(identity)
         return True
 
+    def holds(self, instance: str, version: int) -> bool:
+        """Return whether an instance's entry of a version is held back."""
+        return any(
+            identity[0] == instance and held.target.revision == version
+            for identity, held in self._held.items()
+        )
+
     def list_due(self) -> list['Target']:
         """Return the entries that were held back for long enough."""
         now = self._now()
--- a/cassiarail/edge/registry/targets.py
+++ b/cassiarail/edge/registry/targets.py
@@ -258,7 +258,9 @@
         if entry is None:
             # A listing has shown that the entry was removed since. Another
             # host may repeat it, and a restarted process knows no removals.
-            return revision <= self._listed_revision
+            # One that is held back was in that listing.
+            is_held = self._restored.holds(instance, revision)
+            return revision <= self._listed_revision and not is_held
         return revision < entry.revision
 
     def expire(self) -> list[str]:
--- a/tests/edge/crashes/test_persistence.py
+++ b/tests/edge/crashes/test_persistence.py
@@ -257,3 +257,38 @@
         assert host.clock.monotonic() == started_at
 
     run_hosts(script)
+
+
+def test_the_leader_writes_a_lost_quarantine_again():
+    async def script(store, start):
+        store.begin_era(1)
+        host = start()
+        await asyncio.sleep(1)
+        copy = store.take_copy()
+        await host.quarantine()
+        assert await read_document(store)
+        store.come_back(copy)
+        assert store.peek(QUARANTINE_KIND, QUARANTINE_NAME) is None
+        await asyncio.sleep(1)
+        document = await read_document(store)
+        assert [each['parts'] for each in document['entries']] == [['deadly']]
+        assert host.refused == {DEADLY}
+
+    run_hosts(script)
+
+
+def test_a_quarantine_that_ended_does_not_come_back_from_a_copy():
+    async def script(store, start):
+        store.begin_era(1)
+        host = start()
+        await host.quarantine()
+        copy = store.take_copy()
+        host.quarantines.lift(DEADLY, host.clock.monotonic(), 'operator')
+        await asyncio.sleep(1)
+        assert not (await read_document(store))['entries']
+        store.come_back(copy)
+        await asyncio.sleep(1)
+        assert not host.refused
+        assert not (await read_document(store))['entries']
+
+    run_hosts(script)
