Count probes of quarantines again that the store has lost

Cause: a probe was claimed in the seconds that the store lost. Its count fell back there, and the leader wrote quarantines again only where they were missing. Hosts that knew of the probe could claim none any more, and a host that started could send one too many.

Change: the leader's write raises the count to what it knows.

Result: test_a_probe_that_the_store_has_lost_stays_counted was red before and passes; tests/edge/crashes pass.

--- a/cassiarail/edge/crashes/documents.py
+++ b/cassiarail/edge/crashes/documents.py
@@ -36,6 +36,14 @@
             probe_at=None if delay_s is None else now + delay_s,
         )
 
+    def add_probes(self, known: 'StoredQuarantine') -> 'StoredQuarantine':
+        """Return the entry with probes that the store may have lost."""
+        if known.probes <= self.probes:
+            return self
+        return msgspec.structs.replace(
+            self, probes=known.probes, probe_at=known.probe_at
+        )
+
 
 class ReleasedParts(msgspec.Struct, frozen=True):
     """Store that an operator has released parts, and when."""
--- a/cassiarail/edge/crashes/persistence.py
+++ b/cassiarail/edge/crashes/persistence.py
@@ -200,7 +200,8 @@
         for quarantine in self._quarantines.all:
             entry = describe_entry(quarantine, now, unix)
             if not is_released(document, entry):
-                stored.setdefault(quarantine.parts, entry)
+                known = stored.setdefault(quarantine.parts, entry)
+                stored[quarantine.parts] = known.add_probes(entry)
         return msgspec.structs.replace(document, entries=list(stored.values()))
 
     def _apply(self, stored: StoredObject) -> None:
--- a/tests/edge/crashes/test_persistence.py
+++ b/tests/edge/crashes/test_persistence.py
@@ -292,3 +292,26 @@
         assert not (await read_document(store))['entries']
 
     run_hosts(script)
+
+
+def test_a_probe_that_the_store_has_lost_stays_counted():
+    async def script(store, start):
+        store.begin_era(1)
+        host = start()
+        await host.quarantine()
+        await asyncio.sleep(61)
+        copy = store.take_copy()
+        assert await host.keeper.claim_probe(host.quarantines.all[0])
+        store.come_back(copy)
+        await asyncio.sleep(1)
+        assert (await read_document(store))['entries'][0]['probes'] == 1
+        late = start(is_leader=False)
+        await asyncio.sleep(1)
+        assert not await late.keeper.claim_probe(late.quarantines.all[0])
+        claimed = 1
+        for _second in range(3600):
+            claimed += await host.keeper.claim_probe(host.quarantines.all[0])
+            await asyncio.sleep(1)
+        assert claimed == PROBES
+
+    run_hosts(script)
