Read the era over HTTP, and let the stand-in come back from a copy

Cause: the store client of gateways and controllers didn't read Store-Era, and the stand-in of the store couldn't lose anything.

Change: HttpObjectStore orders by era as the platform's client does. All answers of the stand-in name an era, 1 at first. Its fault store_copy takes a copy when it is switched on and comes back from it when it ends. The fault isn't drawn by the random schedules yet.

Each of the four checks of eras in the client taken out, and the 410 of the stand-in for a revision that it doesn't have: a test is red each time.

--- a/cassiarail/standins/fault_injection.py
+++ b/cassiarail/standins/fault_injection.py
@@ -133,6 +133,8 @@
             self._start_partition(subjects)
         elif name is FaultName.PAUSED_PROCESS:
             self._pause_processes(subjects, document)
+        elif name is FaultName.STORE_COPY:
+            self._standins.store.take_copy()
         elif name in _INSTANT_FAULTS:
             for target in self._choose_targets(subjects):
                 self._inject_into_target(name, target)
@@ -193,6 +195,8 @@
 
     def _switch_off(self, name: FaultName, document: FaultDocument) -> None:
         self._standins.faults.switch_off(name)
+        if name is FaultName.STORE_COPY:
+            self._standins.store.come_back()
         if name is FaultName.PARTITION:
             subjects = frozenset(document.get('subjects', ()))
             if subjects in self._partitions:
--- a/cassiarail/standins/faults.py
+++ b/cassiarail/standins/faults.py
@@ -19,6 +19,7 @@
     STORE_OUTAGE = 'store_outage'
     SLOW_STORE = 'slow_store'
     STORE_ANSWER_LOST = 'store_answer_lost'
+    STORE_COPY = 'store_copy'
     HOST_LIST_LAG = 'host_list_lag'
     PARTITION = 'partition'
     TARGET_LEAVING = 'target_leaving'
--- a/cassiarail/standins/object_table.py
+++ b/cassiarail/standins/object_table.py
@@ -53,11 +53,22 @@
         return list(latest.values())
 
 
+class TableCopy(NamedTuple):
+    """Hold the objects and the revision of one time."""
+
+    revision: int
+    entries: dict[str, dict[str, TableEntry]]
+
+
 class ObjectTable:
-    """Hold all objects; each change increments the revision."""
+    """Hold all objects; each change increments the revision.
+
+    ``era`` rises each time that the table comes back from a copy.
+    """
 
     def __init__(self) -> None:
         self.revision = 0
+        self.era = 1
         self._kinds: collections.defaultdict[str, KindTable] = (
             collections.defaultdict(KindTable)
         )
@@ -87,3 +98,25 @@
         table = self._kinds[kind]
         table.entries.pop(name, None)
         table.record_change(Change(self.revision, name, None))
+
+    def take_copy(self) -> TableCopy:
+        """Return a copy of all objects."""
+        return TableCopy(
+            self.revision,
+            {kind: dict(table.entries) for kind, table in self._kinds.items()},
+        )
+
+    def come_back(self, copy: TableCopy) -> None:
+        """Lose what was written since a copy, and begin the next era.
+
+        Revisions are given out again, and watches of earlier eras have none
+        to continue from.
+        """
+        self.era += 1
+        self.revision = copy.revision
+        for kind, table in self._kinds.items():
+            table.entries = dict(copy.entries.get(kind, {}))
+            table.changes.clear()
+            table.oldest_revision = copy.revision
+            table.changed.set()
+            table.changed = anyio.Event()
--- a/cassiarail/standins/objects.py
+++ b/cassiarail/standins/objects.py
@@ -1,6 +1,7 @@
 """Simulate the object API (docs/design.md, section 4.4)."""
 
 import collections
+import functools
 from typing import Any, NamedTuple
 
 import anyio
@@ -8,14 +9,20 @@
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route, Router
+from starlette.types import Message, Receive, Scope, Send
 
 from cassiarail.core.clock import Clock
 from cassiarail.standins import responses
 from cassiarail.standins.faults import ActiveFaults, FaultName
-from cassiarail.standins.object_table import ObjectTable, TableEntry
+from cassiarail.standins.object_table import (
+    ObjectTable,
+    TableCopy,
+    TableEntry,
+)
 
 VALUE_BYTES_MAX = 1_000_000
 CLIENT_HEADER = 'x-client'
+ERA_HEADER = b'store-era'
 _WATCH_S_MAX = 60
 _READ = 'read'
 _WRITE = 'write'
@@ -45,7 +52,8 @@
         self._response_s = response_s
         self.table = ObjectTable()
         self.calls: collections.Counter[CallKey] = collections.Counter()
-        self.application = Router(
+        self._copy: TableCopy | None = None
+        self._router = Router(
             routes=[
                 Route('/objects/{kind}', self._list, methods=['GET']),
                 Route(
@@ -63,6 +71,24 @@
             ],
         )
 
+    async def application(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve a call; its answer names the era."""
+        await self._router(
+            scope, receive, functools.partial(self._send_with_era, send)
+        )
+
+    def take_copy(self) -> None:
+        """Take the copy from which the store will come back."""
+        self._copy = self.table.take_copy()
+
+    def come_back(self) -> None:
+        """Come back from the last copy, if there is one, in the next era."""
+        if self._copy is not None:
+            self.table.come_back(self._copy)
+            self._copy = None
+
     def count_calls(self, kind: str = '') -> int:
         """Return the number of calls, of one kind or of all."""
         return sum(
@@ -71,6 +97,12 @@
             if not kind or key.kind == kind
         )
 
+    async def _send_with_era(self, send: Send, message: Message) -> None:
+        if message['type'] == 'http.response.start':
+            era = (ERA_HEADER, str(self.table.era).encode())
+            message['headers'] = [*message.get('headers', ()), era]
+        await send(message)
+
     async def _start_call(self, request: Request, verb: str) -> Response | None:
         """Count and delay a call; return an error response during an outage."""
         peer = request.client.host if request.client else ''
@@ -184,15 +216,18 @@
         after = int(request.query_params.get('after', '0'))
         kind = request.path_params['kind']
         table = self.table.get_kind_table(kind)
-        if after < table.oldest_revision:
+        if not table.oldest_revision <= after <= self.table.revision:
             return responses.build_refusal(
                 'revision_too_old', responses.STATUS_GONE
             )
         timeout_s = float(request.query_params.get('timeout', '30'))
         with anyio.move_on_after(min(timeout_s, _WATCH_S_MAX)):
             prefix = request.query_params.get('prefix', '')
+            era = self.table.era
             while not table.list_changes(after, prefix):
                 await table.changed.wait()
+                if self.table.era != era:
+                    break
         return self._build_watch_response(request, kind, after)
 
     def _build_watch_response(
--- a/cassiarail/store/backends/http.py
+++ b/cassiarail/store/backends/http.py
@@ -24,6 +24,7 @@
     StoredObject,
     WatchBatch,
 )
+from cassiarail.store.eras import Version, require_same_era
 
 MAX_OBJECT_BYTES = 1_000_000
 _TIMEOUT_S = 2.0
@@ -31,6 +32,7 @@
 # Errors that are raised before any byte of the request is sent.
 _NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 _READ_METHODS = frozenset(('GET',))
+ERA_HEADER = 'store-era'
 _ERRORS_BY_STATUS: Mapping[int, type[StoreError]] = types.MappingProxyType(
     {
         httpx.codes.PRECONDITION_FAILED: VersionConflictError,
@@ -63,7 +65,7 @@
         response = await self._call('GET', _object_path(kind, name))
         if response.status_code == httpx.codes.NOT_FOUND:
             return None
-        return _parse_object(_decode(response))
+        return _parse_object(_decode(response), self._read_era(response))
 
     async def list_objects(self, kind: str, prefix: str = '') -> Listing:
         """Return the objects of a kind whose names have a prefix."""
@@ -73,9 +75,10 @@
             query={'prefix': prefix},
         )
         body = _decode(response)
+        era = self._read_era(response)
         return Listing(
-            body['revision'],
-            [_parse_object(entry) for entry in body['objects']],
+            Version(era, body['revision']).pack(),
+            [_parse_object(entry, era) for entry in body['objects']],
         )
 
     async def create(self, kind: str, name: str, document: JsonValue) -> int:
@@ -90,18 +93,21 @@
         version: int,
     ) -> int:
         """Replace an object at a known version; return the new version."""
-        condition = {'If-Match': str(version)}
-        return await self._put(kind, name, document, condition)
+        condition = {'If-Match': str(self.era.require_current(version))}
+        written = await self._put(kind, name, document, condition)
+        require_same_era(Version.unpack(written).era, version, is_write=True)
+        return written
 
     async def delete(self, kind: str, name: str, version: int) -> None:
         """Delete an object at a known version."""
         response = await self._call(
             'DELETE',
             _object_path(kind, name),
-            headers={'If-Match': str(version)},
+            headers={'If-Match': str(self.era.require_current(version))},
         )
         if response.status_code == httpx.codes.NOT_FOUND:
             raise VersionConflictError(f'{kind}/{name} does not exist')
+        require_same_era(self._read_era(response), version, is_write=True)
 
     async def watch(
         self,
@@ -115,16 +121,18 @@
             'GET',
             f'/watch/{_quote(kind)}',
             query={
-                'after': str(after),
+                'after': str(self.era.require_history(after)),
                 'timeout': str(timeout_s),
                 'prefix': prefix,
             },
             wait_s=timeout_s + _WATCH_MARGIN_S,
         )
+        era = self._read_era(response)
+        require_same_era(era, after, is_write=False)
         body = _decode(response)
         return WatchBatch(
-            body['revision'],
-            [_parse_object(entry) for entry in body['objects']],
+            Version(era, body['revision']).pack(),
+            [_parse_object(entry, era) for entry in body['objects']],
             list(body['deleted']),
         )
 
@@ -151,9 +159,17 @@
         if response.status_code == httpx.codes.NOT_FOUND:
             raise VersionConflictError(f'{kind}/{name} does not exist')
         try:
-            return int(_decode(response)['version'])
+            revision = int(_decode(response)['version'])
         except (StoreUnavailableError, KeyError, TypeError) as error:
             raise StoreOutcomeUnknownError('invalid response') from error
+        return Version(self._read_era(response), revision).pack()
+
+    def _read_era(self, response: httpx.Response) -> int:
+        """Return the era of a response, and record it."""
+        return self.era.read_answer(
+            response.headers.get(ERA_HEADER),
+            is_write=response.request.method not in _READ_METHODS,
+        )
 
     async def _call(
         self,
@@ -178,6 +194,7 @@
             raise StoreUnavailableError(repr(error)) from error
         except httpx.HTTPError as error:
             raise _error_after_sending(method, repr(error)) from error
+        self._read_era(response)
         _raise_for_status(method, response)
         return response
 
@@ -210,11 +227,11 @@
         raise StoreUnavailableError('invalid response') from error
 
 
-def _parse_object(body: Mapping[str, Any]) -> StoredObject:
+def _parse_object(body: Mapping[str, Any], era: int) -> StoredObject:
     return StoredObject(
         body['kind'],
         body['name'],
-        body['version'],
+        Version(era, body['version']).pack(),
         body['value'],
     )
 
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -92,6 +92,31 @@
     run_scenario(scenario)
 
 
+def test_the_store_comes_back_from_a_copy_in_the_next_era():
+    async def scenario(standins, client):
+        kept, lost = (f'{STORE}/objects/lease/{name}' for name in 'ab')
+        injector = FaultInjector(standins, LoopClock())
+        first = await client.put(kept, json=1, headers=IF_ABSENT)
+        assert first.headers['store-era'] == '1'
+        injector.apply({'name': 'store_copy', 'duration_s': 5})
+        match = {'If-Match': f'{first.json()["version"]}'}
+        await client.put(kept, json=2, headers=match)
+        second = await client.put(lost, json=1, headers=IF_ABSENT)
+        revision = second.json()['version']
+        watch = f'{STORE}/watch/lease?after={revision}&timeout=20'
+        waiting = await client.get(watch, timeout=30)
+        assert waiting.headers['store-era'] == '2'
+        assert (await client.get(watch)).status_code == 410
+        assert (await client.get(lost)).status_code == 404
+        assert (await client.get(kept)).json()['value'] == 1
+        # The revision is given out again.
+        again = await client.put(kept, json=3, headers=match)
+        assert again.json()['version'] == revision - 1
+        assert again.headers['store-era'] == '2'
+
+    run_scenario(scenario)
+
+
 def test_each_executed_call_writes_its_filing_again():
     """The record store must not hide a repeated call or a doubled write."""
 
