Let requests that were sent ahead wait for turns

Cause: each connection that sends requests ahead started its next request in each pass of the loop. Beside 300 such connections, an ordinary request, which takes some 20 passes, took 10 s.

Change: http1/turns.py starts at most four of them in a pass; client addresses take turns. A connection's first request, and one that is sent after the last response, starts at once as before. A request that waits for its turn isn't refused as too slow, and is answered in a stop.

--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -24,6 +24,7 @@
     ServerConnection,
 )
 from cassiarail.http1.states import ConnectionState
+from cassiarail.http1.turns import TurnPasses
 from cassiarail.limits.byte_budget import ByteBudget
 
 ExchangeHandler = Callable[[Exchange], Awaitable[None]]
@@ -56,6 +57,7 @@
         self._max_connections = max_connections
         self.limits = limits
         self.memory = memory or build_client_memory()
+        self.turns = TurnPasses(_call_soon)
         self.is_draining = False
         self._address = address
         self._on_exchange = on_exchange
@@ -211,6 +213,11 @@
         )
 
 
+def _call_soon(callback: Callable[[], None]) -> object:
+    """Call back in the next pass of the loop."""
+    return asyncio.get_running_loop().call_soon(callback)
+
+
 def _accept_waiting(server: asyncio.Server) -> Iterator[socket.socket]:
     """Return the connections that the kernel holds for a server.
 
--- a/cassiarail/http1/server_connections.py
+++ b/cassiarail/http1/server_connections.py
@@ -31,6 +31,7 @@
     enable_dead_peer_detection,
 )
 from cassiarail.http1.states import ConnectionState
+from cassiarail.http1.turns import Turn, TurnPasses
 from cassiarail.http1.writing import ResponseWriter
 from cassiarail.limits.byte_budget import ByteBudget
 
@@ -48,6 +49,7 @@
     is_draining: bool
     limits: Callable[[], ClientLimits]
     memory: ByteBudget
+    turns: TurnPasses
 
     @abc.abstractmethod
     def add(self, connection: 'ServerConnection') -> None:
@@ -96,6 +98,7 @@
         self._assembler = RequestAssembler()
         self._is_ahead_revoked = False
         self._is_stopping = False
+        self._turn = Turn(listener.turns, self._begin_request)
         self._refuse_slow = partial(self._refuse, build_timeout_error())
         self._refuse_stale = partial(self._refuse, build_memory_error())
 
@@ -106,6 +109,7 @@
         enable_dead_peer_detection(tcp)
         self._writer.attach(tcp)
         self._memory.client = self._writer.peer.rpartition(':')[0]
+        self._turn.client = self._memory.client
         self.waiting_since = self._loop.time()
         self._listener.add(self)
         self._timer.set(self._limits.idle_s + _IDLE_MARGIN_S, self.close)
@@ -119,12 +123,12 @@
         if not received:
             return
         self._parser.receive_data(received)
-        if self.state is ConnectionState.RESPONDING:
+        if self._turn.is_awaited or self.state is ConnectionState.RESPONDING:
             self.hold_ahead(self.ahead_bytes + len(received))
-            return
-        if self.state is ConnectionState.WAITING:
-            self._expect_request()
-        self._read_request()
+        elif self.state is ConnectionState.WAITING:
+            self._begin_request()
+        else:
+            self._read_request()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as a client that disconnected.
@@ -139,6 +143,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request of a client that has disconnected."""
+        self._turn.leave()
         self._memory.release()
         self._cancel_response()
         self._timer.cancel()
@@ -176,6 +181,7 @@
     def refuse_unread(self) -> None:
         """Refuse a request of which only a part was read."""
         # A request that is complete in the buffer is handled instead.
+        self._turn.leave()
         self._read_request()
         self._refuse(build_stop_error())
 
@@ -203,9 +209,10 @@
             self.refuse_unread()
         self.close()
 
-    def _expect_request(self) -> None:
+    def _begin_request(self) -> None:
         self.state = ConnectionState.READING
         self._timer.set(self._limits.read_timeout_s, self._refuse_slow)
+        self._read_request()
 
     def _read_request(self) -> None:
         while self.state is ConnectionState.READING:
@@ -290,9 +297,10 @@
     def _continue(self) -> None:
         """Handle the next request if it was sent ahead, or wait for it."""
         if self._parser.trailing_data[0]:
-            self._expect_request()
+            self.state = ConnectionState.READING
+            self._timer.cancel()
             # Lets the handler's task end first.
-            self._loop.call_soon(self._read_request)
+            self._turn.wait()
             return
         self.resume_reading()
         self.state = ConnectionState.WAITING
@@ -321,6 +329,7 @@
         """Respond to a request that was not read, then close."""
         if self.state is not ConnectionState.READING:
             return
+        self._turn.leave()
         self._memory.release_body()
         self._memory.release_ahead()
         self._assembler.discard()
