Close the callers that hold back heads before newcomers, and refuse other versions

Cause: above the limit of connections, the first idle one was closed. If all others had sent a part of a head, that was the newcomer, before its request was read. h11 takes HTTP/0.9 and HTTP/2.0 as versions, and they were answered like HTTP/1.1; the preface of HTTP/2 was a request.

Change: the connection that has stood still for the longest time goes, idle or with a part of a head; the latter is refused with 408. Versions other than 1.x are refused with 505.

--- a/cassiarail/http1/assembly.py
+++ b/cassiarail/http1/assembly.py
@@ -11,6 +11,8 @@
 # Parsers disagree on the body of a request that has both headers.
 _CONFLICTING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 
+_MAJOR_VERSION = b'1.'
+
 
 class ClientLimits(NamedTuple):
     """Limit the size, duration and idle time of client requests."""
@@ -60,6 +62,11 @@
         )
         self._chunks = []
         self._size = 0
+        if not event.http_version.startswith(_MAJOR_VERSION):
+            raise UnreadRequestError(
+                http.HTTPStatus.HTTP_VERSION_NOT_SUPPORTED,
+                'the HTTP version is not served',
+            )
         names = {name for name, _text in self.head.headers}
         size = len(self.head.target) + sum(
             len(name) + len(text) for name, text in self.head.headers
--- a/cassiarail/http1/bounded_connections.py
+++ b/cassiarail/http1/bounded_connections.py
@@ -29,7 +29,9 @@
     """Receive bytes in pieces, and count what waits to be handled or sent.
 
     Pieces are long only while ``receives_body`` is set. ``ahead_bytes`` follow
-    the request that is being handled.
+    the request that is being handled. ``waiting_since`` is the event loop time
+    of the connection's begin, or of the end of its last response, and
+    ``head_since`` that of the begin of a head that isn't complete.
     """
 
     def __init__(
@@ -42,6 +44,8 @@
         self.state = ConnectionState.WAITING
         self.receives_body = False
         self.ahead_bytes = 0
+        self.waiting_since = float(0)
+        self.head_since: float | None = None
         self._is_paused = False
         self._transport: asyncio.Transport | None = None
         self._loop = asyncio.get_running_loop()
@@ -62,6 +66,13 @@
         is_closing = self.state is ConnectionState.CLOSING
         return is_open and is_closing and not self.has_unsent_bytes
 
+    @property
+    def still_since(self) -> float | None:
+        """Return since when this is idle or the rest of a head is awaited."""
+        if self.state is ConnectionState.READING:
+            return self.head_since
+        return self.waiting_since if self.is_idle else None
+
     @property
     def has_unsent_bytes(self) -> bool:
         """Return whether a response waits for the client to read."""
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import http
+import math
 import os
 import socket
 from collections.abc import Awaitable, Callable, Iterator
@@ -50,7 +51,8 @@
 
         ``memory`` limits the bodies of all requests, and the responses that
         clients don't read. Above ``max_connections``, the connection that has
-        been idle for the longest time is closed.
+        been idle for the longest time is closed, or the one that has held back
+        the rest of a head for the longest time.
         """
         self.closed_at_limit = 0
         self.limit_counts: collections.Counter[str] = collections.Counter()
@@ -184,11 +186,12 @@
         self._connections[connection] = None
         if len(self._connections) <= self._max_connections:
             return
-        unused = self._find_unused()
-        if unused is not None:
-            self.closed_at_limit += 1
-            self.count_limit('connections')
-            unused.drop()
+        self.closed_at_limit += 1
+        self.count_limit('connections')
+        dispensable = self._find_dispensable(connection)
+        # Tells the caller of a head, if it is one.
+        dispensable.refuse_slow()
+        dispensable.drop()
 
     def record_use(self, connection: ServerConnection) -> None:
         """Record that a response on a connection has ended."""
@@ -203,14 +206,27 @@
     def _build_connection(self) -> ServerConnection:
         return ServerConnection(self)
 
-    def _find_unused(self) -> ServerConnection | None:
-        """Return a connection that has nothing left to receive or to send."""
+    def _find_dispensable(self, added: ServerConnection) -> ServerConnection:
+        """Return the connection to close in place of one that was added.
+
+        It has been idle, or has held back the rest of a head, for the longest
+        time. If there is none, it is one that has only to be closed by its
+        client, or else the added one.
+        """
+        stillest = None
+        stillest_since = math.inf
         for connection in self._connections:
-            if connection.is_idle:
-                return connection
-        return next(
-            (each for each in self._connections if each.is_lingering), None
-        )
+            if connection.waiting_since >= stillest_since:
+                break  # so are the others
+            since = connection.still_since
+            is_added = connection is added
+            if since is None or since >= stillest_since or is_added:
+                continue
+            stillest, stillest_since = connection, since
+        if stillest is not None:
+            return stillest
+        lingering = (each for each in self._connections if each.is_lingering)
+        return next(lingering, added)
 
 
 def _call_soon(callback: Callable[[], None]) -> object:
--- a/cassiarail/http1/server_connections.py
+++ b/cassiarail/http1/server_connections.py
@@ -77,15 +77,10 @@
 
 
 class ServerConnection(BoundedConnection):
-    """Read the requests of one client and handle them in order.
-
-    ``waiting_since`` is the event loop time of the connection's begin, or of
-    the end of its last response.
-    """
+    """Read the requests of one client and handle them in order."""
 
     def __init__(self, listener: ConnectionOwner) -> None:
         super().__init__(listener.memory, listener.count_limit)
-        self.waiting_since = float(0)
         self._listener = listener
         self._limits = listener.limits()
         self._parser = build_parser(self._limits)
@@ -99,7 +94,7 @@
         self._is_ahead_revoked = False
         self._is_stopping = False
         self._turn = Turn(listener.turns, self._begin_request)
-        self._refuse_slow = partial(self._refuse, build_timeout_error())
+        self.refuse_slow = partial(self._refuse, build_timeout_error())
         self._refuse_stale = partial(self._refuse, build_memory_error())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -211,7 +206,8 @@
 
     def _begin_request(self) -> None:
         self.state = ConnectionState.READING
-        self._timer.set(self._limits.read_timeout_s, self._refuse_slow)
+        self.head_since = self._loop.time()
+        self._timer.set(self._limits.read_timeout_s, self.refuse_slow)
         self._read_request()
 
     def _read_request(self) -> None:
@@ -235,6 +231,7 @@
 
     def _process_event(self, event: object) -> None:
         if isinstance(event, h11.Request):
+            self.head_since = None
             self._writer.received_at = self._loop.time()
             self._assembler.begin(event, self._limits)
             self.receives_body = True
--- a/tests/http1/test_turns.py
+++ b/tests/http1/test_turns.py
@@ -55,11 +55,19 @@
         return crowd
 
 
+async def leave(crowd):
+    for peer in crowd:
+        peer.abort()
+    # What was begun ends.
+    for _ in range(3):
+        await asyncio.sleep(0)
+
+
 @pytest.mark.parametrize('address', ['10.0.0.1', '10.0.0.2'])
 def test_an_ordinary_request_takes_its_passes_beside_a_crowd(address):
     async def main():
         scene = Scene()
-        await scene.open_crowd(CROWD)
+        crowd = await scene.open_crowd(CROWD)
         handled = len(scene.handled)
         ordinary = Peer(scene.listener, address)
         ordinary.deliver(get(b'/ordinary'))
@@ -68,6 +76,7 @@
         assert ordinary.received.startswith(b'HTTP/1.1 200')
         beside = len(scene.handled) - handled - 1
         assert beside <= STARTS_PER_PASS * (PASSES + 1)
+        await leave(crowd)
 
     run_virtual(main)
 
@@ -88,13 +97,14 @@
 def test_clients_take_turns_whatever_connections_they_have():
     async def main():
         scene = Scene()
-        await scene.open_crowd(CROWD)
+        crowd = await scene.open_crowd(CROWD)
         await scene.open_crowd(1, '10.0.0.2')
         handled = len(scene.handled)
         while scene.handled.count('10.0.0.2') < AHEAD:
             await asyncio.sleep(0)
         beside = scene.handled[handled:].count('10.0.0.1')
         assert beside <= STARTS_PER_PASS * 2 * AHEAD
+        await leave(crowd)
 
     run_virtual(main)
 
@@ -134,9 +144,7 @@
         scene = Scene()
         crowd = await scene.open_crowd(CROWD)
         await asyncio.sleep(0)
-        for peer in crowd:
-            peer.abort()
-        await asyncio.sleep(0)
+        await leave(crowd)
         handled = len(scene.handled)
         await asyncio.sleep(1)
         assert len(scene.handled) - handled <= STARTS_PER_PASS
