Prefer targets to which a connection can be reused

Cause: each of many hosts sends a target a request every few seconds, so that nearly each request that runs at most once opened a connection of its own.

Change: one of the two targets that are compared is drawn from those with a connection that may be reused, and opening one counts as 20 ms.

--- a/cassiarail/edge/requests/parts.py
+++ b/cassiarail/edge/requests/parts.py
@@ -100,7 +100,10 @@
             _EJECTION_RULES,
         )
         self._loads = TargetLoads(
-            generator, dependencies.metrics, dependencies.loads.record
+            generator,
+            dependencies.metrics,
+            dependencies.loads.record,
+            self.pool,
         )
         dependencies.loads.on_load = self._loads.record_shared
         self.listener = CallerListener(
--- a/cassiarail/edge/requests/target_loads.py
+++ b/cassiarail/edge/requests/target_loads.py
@@ -12,7 +12,9 @@
 from cassiarail.edge.dialect import CallerRequest, ReportedLoad
 from cassiarail.edge.metrics import EdgeMetrics
 from cassiarail.edge.registry.targets import ModelVariant, Target
+from cassiarail.edge.requests.attempt_rules import AttemptRules
 from cassiarail.edge.requests.jobs import Job
+from cassiarail.http1.pool import ConnectionPool
 from cassiarail.routing.earliest import EarliestStartSelector
 from cassiarail.routing.first_tokens import (
     FirstTokenEstimator,
@@ -35,9 +37,12 @@
         generator: random.Random,
         metrics: EdgeMetrics,
         share: Callable[[str, int], None],
+        pool: ConnectionPool,
     ) -> None:
         """Call ``share`` with the loads that other hosts should know."""
         self._metrics = metrics
+        self._pool = pool
+        self._fresh_idle_s = AttemptRules().fresh_idle_s
         self._share = share
         self._generator = generator
         self.earliest_selector = EarliestStartSelector(generator)
@@ -57,11 +62,14 @@
         A target in ``data_centre`` is preferred to an equal one elsewhere.
         """
         beginnings = _list_beginnings(job.request)
+        connected = [each for each in targets if self._is_connected(job, each)]
+        drawn = draw_candidates(self._generator, targets, connected)
         places = {
             target.instance: self._make_place(job, target, beginnings)._replace(
-                is_local=target.data_centre == data_centre
+                is_local=target.data_centre == data_centre,
+                is_connected=target in connected,
             )
-            for target in draw_candidates(self._generator, targets)
+            for target in drawn
         }
         chosen = self._estimator.choose(
             places.values(), find_size(job.request), now
@@ -161,6 +169,10 @@
         )
         self._kept.record(target.identity, beginnings, int(free))
 
+    def _is_connected(self, job: Job, target: Target) -> bool:
+        max_idle_s = None if job.route.may_repeat else self._fresh_idle_s
+        return self._pool.has_idle(target.address, max_idle_s)
+
     def _make_place(
         self, job: Job, target: Target, beginnings: Beginnings
     ) -> Place:
--- a/cassiarail/http1/pool.py
+++ b/cassiarail/http1/pool.py
@@ -66,6 +66,17 @@
         self._in_use[connection] = address
         return connection
 
+    def has_idle(self, address: Address, max_idle_s: float | None) -> bool:
+        """Return whether ``acquire`` would reuse a connection now."""
+        idle = self._idle.get(address)
+        if not idle:
+            return False
+        newest = idle[-1]
+        age = _now() - newest.idle_since
+        if max_idle_s is not None and age >= max_idle_s:
+            return False
+        return age < self._find_idle_limit(newest) and not newest.is_closed
+
     async def connect(self, address: Address) -> None:
         """Open a connection and keep it for the next request.
 
--- a/cassiarail/routing/first_tokens.py
+++ b/cassiarail/routing/first_tokens.py
@@ -26,6 +26,9 @@
 _DRAWN = 2
 # Added for targets in other data centres: traffic between them is priced.
 _REMOTE_S = 0.002
+# Added where a connection has to be opened: that takes a round trip, and it may
+# hold a place at the target for a moment.
+_CONNECT_S = 0.02
 
 _Target = TypeVar('_Target')
 
@@ -46,7 +49,8 @@
     """Describe a target that can run a request.
 
     ``token_capacity`` is its token memory, 0 if unknown, and ``kept_tokens``
-    those that it needn't read of this request's prompt.
+    those that it needn't read of this request's prompt. ``is_connected`` shows
+    that a connection to it can be reused.
     """
 
     instance: str
@@ -55,6 +59,7 @@
     token_capacity: int
     kept_tokens: int = 0
     is_local: bool = True
+    is_connected: bool = True
 
 
 class FirstTokenEstimate(NamedTuple):
@@ -177,6 +182,7 @@
             key=lambda place: (
                 self.estimate(place, size, now).seconds
                 + _REMOTE_S * (not place.is_local)
+                + _CONNECT_S * (not place.is_connected)
             ),
             default=None,
         )
@@ -218,10 +224,20 @@
 
 
 def draw_candidates(
-    generator: random.Random, targets: Sequence[_Target]
+    generator: random.Random,
+    targets: Sequence[_Target],
+    connected: Sequence[_Target] = (),
 ) -> list[_Target]:
-    """Return the targets to compare for one request, in random order."""
-    return generator.sample(targets, min(_DRAWN, len(targets)))
+    """Return the targets to compare for one request, in random order.
+
+    One of them is drawn from those that are ``connected``, if there are any.
+    """
+    drawn = generator.sample(targets, min(_DRAWN, len(targets)))
+    if connected and len(drawn) == _DRAWN:
+        other = generator.choice(connected)
+        if other not in drawn:
+            drawn[-1] = other
+    return drawn
 
 
 def _expect_excess(base: float, others: float) -> float:
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -101,7 +101,6 @@
             self.current_configuration.offer(configuration)
         self.metrics_registry = CollectorRegistry()
         metrics = EdgeMetrics(self.metrics_registry)
-        loads = TargetLoads(random.Random(1), metrics, lambda *_load: None)
         dialect = PlatformDialect()
         self.outliers = OutlierDetector(
             self.clock,
@@ -124,6 +123,9 @@
         )
         self.expected_s = 0.01
         self.pool = ConnectionPool(PoolRules(connect_timeout_s=2))
+        loads = TargetLoads(
+            random.Random(1), metrics, lambda *_load: None, self.pool
+        )
         self.memory = ByteBudget(RESPONSE_MEMORY_BYTES)
         self.client_memory = build_client_memory()
         self.forwarder = Forwarder(
--- a/tests/routing/test_first_tokens.py
+++ b/tests/routing/test_first_tokens.py
@@ -6,6 +6,7 @@
 
 import heapq
 import random
+from typing import NamedTuple
 
 from cassiarail.routing.earliest import Candidate, EarliestStartSelector
 from cassiarail.routing.first_tokens import (
@@ -19,6 +20,9 @@
 SIZE = RequestSize(500, 300)
 SLOTS = 12
 CAPACITY = 34_000
+HOSTS = 30
+ENGINES = 10
+UNTIL_S = 20
 
 
 def make_estimator(slowdowns=None):
@@ -161,7 +165,7 @@
         self.selector.find_usage(name).own += 1
         self.estimator.begin('s', name, size)
 
-    def end(self, name, size):
+    def end(self, name, size, _now):
         self.selector.find_usage(name).own -= 1
         self.estimator.end(name, size)
 
@@ -174,21 +178,21 @@
         self.kept.record((name, 1), parts, int(free))
 
 
-def play(estimates, seed, rate, hosts=30, count=10, until=20):
+def play(estimates, seed, rate, make_host=FakeHost):
     """Return the times to the first token of all requests."""
     generator = random.Random(seed)
     engines = {
         f'e{number}': FakeEngine((0.6, 1, 1, 1.6)[number % 4])
-        for number in range(count)
+        for number in range(ENGINES)
     }
     fleet = [
-        FakeHost(tuple(engines), engines, generator, estimates)
-        for _number in range(hosts)
+        make_host(tuple(engines), engines, generator, estimates)
+        for _number in range(HOSTS)
     ]
     events = []
     now = 0
     number = 0
-    while now < until:
+    while now < UNTIL_S:
         now += generator.expovariate(rate)
         number += 1
         events.append((now, number, 'come', None))
@@ -230,7 +234,7 @@
         engine.running.remove((now, request))
         heapq.heapify(engine.running)
         engine.used -= size.total
-        host.end(name, size)
+        host.end(name, size, now)
         follow(name, engine.start(now))
     return firsts
 
@@ -254,3 +258,69 @@
     for seed in range(3):
         by_load = share_on_time(play(False, seed, rate=25))
         assert share_on_time(play(True, seed, rate=25)) >= by_load
+
+
+class ConnectedPlay(NamedTuple):
+    """Hold shares of requests: with a reused connection, and on time."""
+
+    reused: float
+    on_time: float
+
+
+class ConnectedHost(FakeHost):
+    """Keep a connection to each engine for a second after a request."""
+
+    prefers_connected = True
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.idle_since = {}
+        self.sent = []
+
+    @classmethod
+    def play(cls, prefers_connected, seed):
+        """Return what callers get, and how often connections are reused."""
+        cls.prefers_connected = prefers_connected
+        fleet = []
+        firsts = play(
+            True,
+            seed,
+            rate=62,
+            make_host=lambda *arguments: (
+                fleet.append(cls(*arguments)) or fleet[-1]
+            ),
+        )
+        sent = [reused for host in fleet for reused in host.sent]
+        return ConnectedPlay(sum(sent) / len(sent), share_on_time(firsts))
+
+    def choose(self, now, size, parts):
+        connected = [
+            name for name, since in self.idle_since.items() if now - since < 1.0
+        ]
+        preferred = connected if self.prefers_connected else ()
+        places = [
+            place(
+                name,
+                kept_tokens=self.kept.find((name, 1), parts),
+                is_connected=name in connected or not self.prefers_connected,
+            )
+            for name in draw_candidates(self.generator, self.names, preferred)
+        ]
+        name = self.estimator.choose(places, size, now).instance
+        self.sent.append(name in connected)
+        self.idle_since.pop(name, None)
+        return name
+
+    def end(self, name, size, now):
+        super().end(name, size, now)
+        self.idle_since[name] = now
+
+
+def test_connections_are_reused_without_later_first_tokens():
+    # Fails if each request opens a connection of its own: fleets with many
+    # hosts send each engine a request every few seconds.
+    for seed in range(3):
+        any_two = ConnectedHost.play(False, seed)
+        with_one = ConnectedHost.play(True, seed)
+        assert with_one.reused > any_two.reused + 0.2
+        assert with_one.on_time > any_two.on_time - 0.02
