Report units that run low together again

The shorter interval of reports split the rows of 16 accounts over more datagrams. Only what must be refilled is now reported between the regular reports; what runs low is, as before, once a second.

--- a/cassiarail/limits/quotas.py
+++ b/cassiarail/limits/quotas.py
@@ -32,12 +32,14 @@
 # than some requests; those are left to expire.
 _LEFT_REQUESTS = 0.5
 # A row is sent again after this time.
-_REPEAT_S = 0.9
+_REPEAT_S = 0.6
+# Units that run low are reported at this interval.
+_REGULAR_S = 0.95
 # Below this share of what is held ahead, units run low.
 _LOW_SHARE = 0.5
 # What was spent is reported at this share of a host's equal part of the pool;
 # the leader refills it only then.
-_UNREPORTED_SHARE = 0.5
+_UNREPORTED_SHARE = 0.75
 # Rows with less than this share are sent along with those that are due.
 _ALONG_SHARE = 0.8
 # The leader isn't asked again for this long after it has denied units.
@@ -155,6 +157,7 @@
         self._contact_at = self._started_at
         self._has_heard = False
         self._fence = 0
+        self._regular_at = _NEVER
 
     @property
     def fence(self) -> int:
@@ -216,9 +219,7 @@
         """
         now = self._clock.monotonic()
         units = self._find(account, now)
-        if units is None or now - spent_at > RETURN_S:
-            return False
-        if now >= units.expires_at:
+        if units is None or now >= min(spent_at + RETURN_S, units.expires_at):
             return False
         units.held += cost
         units.spent -= cost
@@ -232,11 +233,18 @@
 
     def list_urgent(self) -> list[UseRow]:
         """Return rows of accounts with waiting requests, and what is due."""
-        return self._list_rows(is_urgent=True)
+        return self._list_rows(lambda units, _now: units.urgent > 0)
 
     def list_due(self) -> list[UseRow]:
-        """Return rows that the leader should receive now."""
-        return self._list_rows(is_urgent=False)
+        """Return rows that the leader should receive now.
+
+        Rows of low units are returned together, once in an interval.
+        """
+        now = self._clock.monotonic()
+        if now - self._regular_at < _REGULAR_S:
+            return self._list_rows(self._is_unreported)
+        self._regular_at = now
+        return self._list_rows(self._is_due)
 
     def receive(
         self, fence: int, sent_at: float, grants: Iterable[GrantRow]
@@ -332,30 +340,31 @@
     def _alone_per_s(self, units: _AccountUnits) -> float:
         return units.bounds.alone_per_s / self.hosts
 
-    def _list_rows(self, *, is_urgent: bool) -> list[UseRow]:
+    def _list_rows(
+        self, is_due: Callable[[_AccountUnits, float], bool]
+    ) -> list[UseRow]:
+        """Return rows if one of them is due."""
         now = self._clock.monotonic()
         for units in self._units.values():
             units.expire(now)
-        is_due = any(
-            units.urgent > 0 if is_urgent else self._is_due(units, now)
-            for units in self._units.values()
-        )
-        if not is_due:
+        if not any(is_due(units, now) for units in self._units.values()):
             return []
         return [
             _make_row(number, units, now)
             for number, units in self._units.items()
             if units.urgent > 0
-            or self._is_due(units, now)
+            or self._is_unreported(units, now)
             or _is_low(units, now, _ALONG_SHARE)
         ]
 
     def _is_due(self, units: _AccountUnits, now: float) -> bool:
-        """Return whether the leader should receive the row of an account."""
-        unreported = units.spent - units.reported
-        if unreported > units.bounds.pool * _UNREPORTED_SHARE / self.hosts:
-            return True
-        return _is_low(units, now, _LOW_SHARE)
+        is_low = _is_low(units, now, _LOW_SHARE)
+        return is_low or self._is_unreported(units, now)
+
+    def _is_unreported(self, units: _AccountUnits, _now: float) -> bool:
+        """Return whether much was spent that the leader can't refill yet."""
+        share = units.bounds.pool * _UNREPORTED_SHARE / self.hosts
+        return units.spent - units.reported > share
 
 
 def _is_low(units: _AccountUnits, now: float, low_share: float) -> bool:
