--- a/cassiarail/edge/fleet/messages.py
+++ b/cassiarail/edge/fleet/messages.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from cassiarail.limits.quotas import GrantRow, UseRow
+from cassiarail.limits.quota_rows import GrantRow, UseRow
 
 
 class DemandRow(msgspec.Struct, array_like=True):
--- a/cassiarail/edge/fleet/quota_exchange.py
+++ b/cassiarail/edge/fleet/quota_exchange.py
@@ -25,7 +25,8 @@
     HostReport,
     QuotaLedger,
 )
-from cassiarail.limits.quotas import HostQuotas, UseRow
+from cassiarail.limits.quota_rows import UseRow
+from cassiarail.limits.quotas import HostQuotas
 from cassiarail.store.leases import is_first_fence
 
 _INTERVAL_S = 0.25
--- a/cassiarail/limits/quota_ledger.py
+++ b/cassiarail/limits/quota_ledger.py
@@ -17,12 +17,8 @@
     QuotaRules,
     compute_bounds,
 )
-from cassiarail.limits.quotas import (
-    GRANT_S,
-    GrantRow,
-    UseRow,
-    identify_account,
-)
+from cassiarail.limits.quota_rows import GrantRow, UseRow, identify_account
+from cassiarail.limits.quotas import GRANT_S
 from cassiarail.security.accounts import AccountQuota, ClientAccount
 
 # Hosts count their grants from before their report; this is for the transit.
--- a/cassiarail/limits/quotas.py
+++ b/cassiarail/limits/quotas.py
@@ -7,7 +7,6 @@
 
 import enum
 import math
-import zlib
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -19,6 +18,7 @@
     QuotaRules,
     compute_bounds,
 )
+from cassiarail.limits.quota_rows import GrantRow, UseRow, identify_account
 from cassiarail.limits.quota_use import RecentUse
 from cassiarail.security.accounts import ClientAccount
 
@@ -67,38 +67,6 @@
     retry_after_s: float = 0
 
 
-class UseRow(NamedTuple):
-    """Report the use of an account on one host to the leader.
-
-    ``spent`` and ``received`` count the units of the leader's term. ``urgent``
-    units are needed by requests that wait, ``ahead`` units for those to come.
-    """
-
-    account: int
-    spent: int
-    received: int
-    held: int
-    urgent: int
-    ahead: int
-
-
-class GrantRow(NamedTuple):
-    """Grant units of an account to one host.
-
-    ``granted`` counts the units of the leader's term. ``denied_ms`` is the
-    time until urgent units that were not granted may be there, or 0.
-    """
-
-    account: int
-    granted: int
-    denied_ms: int
-
-
-def identify_account(name: str) -> int:
-    """Return the number that stands for an account in messages."""
-    return zlib.crc32(name.encode())
-
-
 class _AccountUnits:
     """Hold the units of one account on this host."""
 
@@ -304,6 +272,8 @@
     def _decide(
         self, units: _AccountUnits, cost: float, now: float
     ) -> SpendResult:
+        if cost > units.bounds.pool:
+            return SpendResult(Decision.REFUSED, _MAX_RETRY_S)
         units.expire(now)
         if units.held >= cost:
             units.held -= cost
--- a/tests/limits/quota_fleet.py
+++ b/tests/limits/quota_fleet.py
@@ -17,7 +17,8 @@
     HostReport,
     QuotaLedger,
 )
-from cassiarail.limits.quotas import Decision, HostQuotas, identify_account
+from cassiarail.limits.quota_rows import identify_account
+from cassiarail.limits.quotas import Decision, HostQuotas
 from cassiarail.security.accounts import AccountQuota, ClientAccount
 
 WINDOW_S = 8.0
--- a/tests/limits/test_quotas.py
+++ b/tests/limits/test_quotas.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cassiarail.limits.quota_bounds import RETURN_S, compute_bounds
+from cassiarail.limits.quotas import Decision
 from tests.limits.quota_fleet import (
     RATE,
     RULES,
@@ -194,3 +195,26 @@
         fleet.later(10, host.quotas.try_spend, unlimited, 1)
     fleet.run(22)
     assert fleet.worst_share(account) <= 1
+
+
+def test_request_above_the_pool_is_refused_without_asking():
+    account = make_account('a', 1000, 0)
+    fleet = Fleet(6, [account], 1)
+    fleet.run(2)
+    pool = compute_bounds(account.quota, RULES).pool
+    quotas = fleet.hosts[1].quotas
+    assert quotas.try_spend(account, pool).decision is Decision.ASK_LEADER
+    assert quotas.try_spend(account, pool + 1).decision is Decision.REFUSED
+
+
+def test_slack_admits_requests_of_a_small_quota():
+    account = make_account('a', 200, 100)
+    assert compute_bounds(account.quota).pool < 300
+    fleet = Fleet(6, [account], 1)
+    # The pool is empty when the first leader begins.
+    fleet.run(40)
+    fleet.play(account, 60, on_all, 140)
+    fleet.run(100)
+    assert fleet.asked['a'] > 3000
+    assert not fleet.refused['a']
+    assert fleet.worst_share(account) <= 1
