--- a/cassiarail/edge/fleet/quota_exchange.py
+++ b/cassiarail/edge/fleet/quota_exchange.py
@@ -36,7 +36,9 @@
 _BATCH_DELAY_S = 0.002
 # A host that has sent no demand report for this long is out of touch. It goes
 # on alone only later.
-_PRESENT_S = 1.5
+_PRESENT_S = 1.4
+# The hosts are counted at most this often.
+_COUNT_INTERVAL_S = 0.1
 
 
 def _ignore_grants() -> None:
@@ -66,6 +68,8 @@
         self._asked_at = float('-inf')
         self._is_scheduled = False
         self._term = 0
+        self._host_presence = HostPresence(0, 0)
+        self._counted_at = float('-inf')
         presence.quotas = self
 
     async def run(self) -> None:
@@ -142,16 +146,23 @@
             return None
         self._begin_term(election.fence)
         self._apply_configuration()
-        hosts = len(list(self._presence.list_hosts()))
-        present = self._presence.count_present(_PRESENT_S)
         rows = self.ledger.receive(
             HostReport(
                 str(sender), report.started_ms, report.sent_ms, report.rows
             ),
-            HostPresence(hosts, max(0, hosts - present)),
+            self._count_hosts(),
         )
         return QuotaGrants(report.fence, report.sent_ms, rows)
 
+    def _count_hosts(self) -> HostPresence:
+        now = self._clock.monotonic()
+        if now - self._counted_at >= _COUNT_INTERVAL_S:
+            self._counted_at = now
+            hosts = len(list(self._presence.list_hosts()))
+            present = self._presence.count_present(_PRESENT_S)
+            self._host_presence = HostPresence(hosts, max(0, hosts - present))
+        return self._host_presence
+
     def _begin_term(self, fence: int) -> None:
         if fence != self._term:
             self._term = fence
--- a/tests/limits/test_quota_machine.py
+++ b/tests/limits/test_quota_machine.py
@@ -63,6 +63,15 @@
         self.fleet.run(RESTART_S)
         host.restart()
 
+    @rule(after_s=st.floats(0, 5), seconds=st.floats(0, 5))
+    def fill_engines(self, after_s, seconds):
+        self.fleet.return_after(after_s, until=self.fleet.now + seconds)
+
+    @rule(index=INDEXES)
+    def remove_quota_for_a_time(self, index):
+        unlimited = self.account._replace(quota=None)
+        self.fleet.hosts[index].quotas.try_spend(unlimited, 1)
+
     @rule(index=INDEXES)
     def elect(self, index):
         self.fleet.lead(None)
