--- a/cassiarail/limits/quotas.py
+++ b/cassiarail/limits/quotas.py
@@ -7,7 +7,6 @@
 
 import enum
 import math
-import zlib
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -19,6 +18,7 @@
     QuotaRules,
     compute_bounds,
 )
+from cassiarail.limits.quota_rows import GrantRow, UseRow, identify_account
 from cassiarail.limits.quota_use import RecentUse
 from cassiarail.security.accounts import ClientAccount
 
@@ -32,12 +32,14 @@
 # than some requests; those are left to expire.
 _LEFT_REQUESTS = 0.5
 # A row is sent again after this time.
-_REPEAT_S = 0.9
+_REPEAT_S = 0.6
+# Units that run low are reported at this interval.
+_REGULAR_S = 0.95
 # Below this share of what is held ahead, units run low.
 _LOW_SHARE = 0.5
 # What was spent is reported at this share of a host's equal part of the pool;
 # the leader refills it only then.
-_UNREPORTED_SHARE = 0.5
+_UNREPORTED_SHARE = 0.75
 # Rows with less than this share are sent along with those that are due.
 _ALONG_SHARE = 0.8
 # The leader isn't asked again for this long after it has denied units.
@@ -65,38 +67,6 @@
     retry_after_s: float = 0
 
 
-class UseRow(NamedTuple):
-    """Report the use of an account on one host to the leader.
-
-    ``spent`` and ``received`` count the units of the leader's term. ``urgent``
-    units are needed by requests that wait, ``ahead`` units for those to come.
-    """
-
-    account: int
-    spent: int
-    received: int
-    held: int
-    urgent: int
-    ahead: int
-
-
-class GrantRow(NamedTuple):
-    """Grant units of an account to one host.
-
-    ``granted`` counts the units of the leader's term. ``denied_ms`` is the
-    time until urgent units that were not granted may be there, or 0.
-    """
-
-    account: int
-    granted: int
-    denied_ms: int
-
-
-def identify_account(name: str) -> int:
-    """Return the number that stands for an account in messages."""
-    return zlib.crc32(name.encode())
-
-
 class _AccountUnits:
     """Hold the units of one account on this host."""
 
@@ -155,6 +125,7 @@
         self._contact_at = self._started_at
         self._has_heard = False
         self._fence = 0
+        self._regular_at = _NEVER
 
     @property
     def fence(self) -> int:
@@ -216,9 +187,7 @@
         """
         now = self._clock.monotonic()
         units = self._find(account, now)
-        if units is None or now - spent_at > RETURN_S:
-            return False
-        if now >= units.expires_at:
+        if units is None or now >= min(spent_at + RETURN_S, units.expires_at):
             return False
         units.held += cost
         units.spent -= cost
@@ -232,11 +201,18 @@
 
     def list_urgent(self) -> list[UseRow]:
         """Return rows of accounts with waiting requests, and what is due."""
-        return self._list_rows(is_urgent=True)
+        return self._list_rows(lambda units, _now: units.urgent > 0)
 
     def list_due(self) -> list[UseRow]:
-        """Return rows that the leader should receive now."""
-        return self._list_rows(is_urgent=False)
+        """Return rows that the leader should receive now.
+
+        Rows of low units are returned together, once in an interval.
+        """
+        now = self._clock.monotonic()
+        if now - self._regular_at < _REGULAR_S:
+            return self._list_rows(self._is_unreported)
+        self._regular_at = now
+        return self._list_rows(self._is_due)
 
     def receive(
         self, fence: int, sent_at: float, grants: Iterable[GrantRow]
@@ -296,6 +272,8 @@
     def _decide(
         self, units: _AccountUnits, cost: float, now: float
     ) -> SpendResult:
+        if cost > units.bounds.pool:
+            return SpendResult(Decision.REFUSED, _MAX_RETRY_S)
         units.expire(now)
         if units.held >= cost:
             units.held -= cost
@@ -332,30 +310,31 @@
     def _alone_per_s(self, units: _AccountUnits) -> float:
         return units.bounds.alone_per_s / self.hosts
 
-    def _list_rows(self, *, is_urgent: bool) -> list[UseRow]:
+    def _list_rows(
+        self, is_due: Callable[[_AccountUnits, float], bool]
+    ) -> list[UseRow]:
+        """Return rows if one of them is due."""
         now = self._clock.monotonic()
         for units in self._units.values():
             units.expire(now)
-        is_due = any(
-            units.urgent > 0 if is_urgent else self._is_due(units, now)
-            for units in self._units.values()
-        )
-        if not is_due:
+        if not any(is_due(units, now) for units in self._units.values()):
             return []
         return [
             _make_row(number, units, now)
             for number, units in self._units.items()
             if units.urgent > 0
-            or self._is_due(units, now)
+            or self._is_unreported(units, now)
             or _is_low(units, now, _ALONG_SHARE)
         ]
 
     def _is_due(self, units: _AccountUnits, now: float) -> bool:
-        """Return whether the leader should receive the row of an account."""
-        unreported = units.spent - units.reported
-        if unreported > units.bounds.pool * _UNREPORTED_SHARE / self.hosts:
-            return True
-        return _is_low(units, now, _LOW_SHARE)
+        is_low = _is_low(units, now, _LOW_SHARE)
+        return is_low or self._is_unreported(units, now)
+
+    def _is_unreported(self, units: _AccountUnits, _now: float) -> bool:
+        """Return whether much was spent that the leader can't refill yet."""
+        share = units.bounds.pool * _UNREPORTED_SHARE / self.hosts
+        return units.spent - units.reported > share
 
 
 def _is_low(units: _AccountUnits, now: float, low_share: float) -> bool:
