Claim no key whose claim the store may have lost

Cause: a claim that was made in the lost seconds is missing afterwards, or void again. Another gateway took its key for one that was never claimed, and the call ran twice.

Change: a gateway that has noticed a change of the era claims no key whose time is before that, or at most 2 s after. The caller gets 409 call_unresolved, may have run. Outcomes that a gateway can't write any more, because the store has lost their claim, are written anew, except of void claims. Nothing changes with a store whose era is 0 or 1. What isn't covered, callers whose clocks are more than 2 s ahead, is in docs/design/store-era.md.

tests/gateway/test_process.py passes a store in place of None, as the type demands; its check is as before.

--- a/cassiarail/store/claims.py
+++ b/cassiarail/store/claims.py
@@ -7,6 +7,7 @@
 """
 
 import base64
+import contextlib
 import datetime as dt
 import enum
 import functools
@@ -36,6 +37,8 @@
     OutcomeNotRecordedError,
     UnresolvedClaimError,
 )
+from cassiarail.store.claim_losses import ClaimLosses
+from cassiarail.store.eras import Version
 
 CLAIM_KIND = 'claim'
 RETENTION = dt.timedelta(hours=24)
@@ -173,6 +176,7 @@
         self._submit = submit
         self._timeout_s = timeout_s
         self._backoff = Backoff()
+        self._losses = ClaimLosses(store.era, clock)
 
     async def claim(self, request: ClaimRequest) -> Claim | RecordedResponse:
         """Return a claim for the call, or its recorded response.
@@ -199,6 +203,9 @@
                 self._submit(functools.partial(self._retry, attempt.void))
         if outcome_or_claim is None:
             raise _claim_unavailable('the store did not respond in time')
+        if isinstance(outcome_or_claim, Claim):
+            # If this raises, the new claim keeps the key unresolved.
+            self._losses.require_kept(read_key_time(request.key))
         return outcome_or_claim
 
     def close(
@@ -246,7 +253,14 @@
         except VersionConflictError:
             # An earlier write of the same document took effect, but its
             # response was lost.
-            return
+            if Version.unpack(claim.version).era < self._store.era.current:
+                await self._restore(claim, document)
+
+    async def _restore(self, claim: Claim, document: ClaimDocument) -> None:
+        """Write a lost outcome; a void claim may have been claimed since."""
+        if document['state'] != ClaimState.VOID.value:
+            with contextlib.suppress(VersionConflictError):
+                await self._store.create(CLAIM_KIND, claim.name, document)
 
     async def _retry(self, operation: Callable[[], Awaitable[None]]) -> None:
         attempt = 0
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -9,6 +9,7 @@
 from cassiarail.core.clock import LoopClock
 from cassiarail.core.loops import run_virtual
 from cassiarail.gateway.process import GatewayConnections, GatewayProcess
+from cassiarail.store.backends.memory import MemoryObjectStore
 
 
 def _build_process(drain_timeout_s):
@@ -19,7 +20,7 @@
             'controllers': [],
             'drain_timeout_s': drain_timeout_s,
         },
-        GatewayConnections(None, None, None),
+        GatewayConnections(MemoryObjectStore(), None, None),
         LoopClock(),
         random.Random(1),
         CollectorRegistry(),
