Take a stale check of an earlier era for an answer

Cause: checks read a copy of the store that may be seconds old. After a change of the era it may still name the earlier one. That counted as a failed call and suspended all calls of the host.

Change: such a check shows that the store responds, and no version. An error status stays an error, whatever the era; other reads of an earlier era still fail.

--- a/cassiarail/platform/store.py
+++ b/cassiarail/platform/store.py
@@ -27,7 +27,7 @@
     StoredObject,
     WatchBatch,
 )
-from cassiarail.store.eras import Version, require_same_era
+from cassiarail.store.eras import EarlierEraError, Version, require_same_era
 from cassiarail.store.events import OBJECT_UNREADABLE
 from cassiarail.store.leases import LEASE_KIND, ORDERS_LEASE
 from cassiarail.store.monitor import Checkable
@@ -66,14 +66,18 @@
     async def check(self) -> int | None:
         """Return the lease's version from a stale read, or ``None``.
 
-        The version may be seconds old.
+        The version may be seconds old. One of an earlier era shows that the
+        store responds, and nothing else.
         """
         path = _build_path(LEASE_KIND, ORDERS_LEASE)
-        answer = await self._call(
-            'GET',
-            f'{path}?{_STALE_QUERY}',
-            timeout_s=_CHECK_TIMEOUT_S,
-        )
+        try:
+            answer = await self._call(
+                'GET',
+                f'{path}?{_STALE_QUERY}',
+                timeout_s=_CHECK_TIMEOUT_S,
+            )
+        except EarlierEraError:
+            return None
         if answer.status == _NOT_FOUND:
             return None
         return _parse_object(LEASE_KIND, answer.decode(), answer.era).version
@@ -208,10 +212,14 @@
             raise StoreUnavailableError(error.message) from error
         except ConnectionLostError as error:
             raise _build_interrupted_error(method, error.message) from error
-        era = self.era.read_answer(
-            find_header(response.headers, _ERA_HEADER),
-            is_write=method != 'GET',
-        )
+        try:
+            era = self.era.read_answer(
+                find_header(response.headers, _ERA_HEADER),
+                is_write=method != 'GET',
+            )
+        except EarlierEraError:
+            _raise_for_status(method, response)
+            raise
         _raise_for_status(method, response)
         return _Answer(response.status, response.body, era)
 
--- a/cassiarail/store/eras.py
+++ b/cassiarail/store/eras.py
@@ -26,6 +26,10 @@
 _FIRST_ERA = 1
 
 
+class EarlierEraError(StoreUnavailableError):
+    """Report what was read in an earlier era than the known one."""
+
+
 class Version(NamedTuple):
     """Hold the parts of a version; ``number`` orders those of an era."""
 
@@ -84,7 +88,7 @@
 
         An answer without an era belongs to the current one. An answer of an
         earlier era arrived late: what it says may be lost. Raises
-        ``StoreUnavailableError`` for such a read and
+        ``EarlierEraError`` for such a read and
         ``StoreOutcomeUnknownError`` for such a write.
         """
         if header is None or not header.strip().isdecimal():
@@ -95,7 +99,7 @@
             message = f'the answer is of era {era}, before {self.current}'
             if is_write:
                 raise StoreOutcomeUnknownError(message)
-            raise StoreUnavailableError(message)
+            raise EarlierEraError(message)
         return era
 
     def require_current(self, version: int) -> int:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,7 +4,9 @@
 import json
 
 import pytest
+from prometheus_client import CollectorRegistry
 
+from cassiarail.core.clock import LoopClock
 from cassiarail.core.exceptions import (
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -13,6 +15,7 @@
 )
 from cassiarail.platform.store import PlatformStore
 from cassiarail.store.eras import Version
+from cassiarail.store.observed import ObservedStore
 from tests.http1.wire import ScriptedServer, run_with_timeout
 
 OBJECT = {'meta': {'name': 'n', 'rev': 5}, 'spec': {'x': 1}, 'status': None}
@@ -205,3 +208,16 @@
 
     page = {'current_rev': 5, 'items': [OBJECT], 'has_more': True}
     run_call(list_all, encode_in_era(3, 200, page), encode_in_era(4, 200, page))
+
+
+def test_a_stale_check_of_an_earlier_era_shows_that_the_store_responds():
+    async def check(store):
+        store.era.observe(3, 'peer')
+        observed = ObservedStore(store, store, LoopClock(), CollectorRegistry())
+        assert await observed.check() is None
+        assert not observed.breaker.is_open
+        with pytest.raises(StoreUnavailableError):
+            await observed.check()
+        assert observed.breaker.is_open
+
+    run_call(check, encode_in_era(2, 200, OBJECT), encode_in_era(2, 503))
