Let hosts without a leader serve their part in large fleets

Cause: at 380 hosts the part of one host is less than a request, so that no host without a leader ran any request of an account once its grants had expired. Change: such a host admits a request with the probability of what it has saved divided by the cost, and its savings are spent either way.

--- a/cassiarail/limits/quotas.py
+++ b/cassiarail/limits/quotas.py
@@ -7,6 +7,7 @@
 
 import enum
 import math
+import random
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -107,7 +108,8 @@
 class HostQuotas:
     """Hold the units of all accounts that this host has received.
 
-    ``count_hosts`` returns the number of hosts, or 0 if it is unknown.
+    ``count_hosts`` returns the number of hosts, or 0 if it is unknown; ``draw``
+    returns random numbers below 1.
     """
 
     def __init__(
@@ -115,9 +117,11 @@
         clock: Clock,
         count_hosts: Callable[[], int],
         rules: QuotaRules = DEFAULT_RULES,
+        draw: Callable[[], float] = random.random,
     ) -> None:
         self._clock = clock
         self._rules = rules
+        self._draw = draw
         self._count_hosts = count_hosts
         self._units: dict[int, _AccountUnits] = {}
         self._started_at = clock.monotonic()
@@ -280,14 +284,13 @@
             units.spent += cost
             return SpendResult(Decision.ADMITTED)
         self._refill_alone(units, now)
-        if units.alone >= cost:
-            units.alone -= cost
+        if self._spend_alone(units, cost):
             return SpendResult(Decision.ADMITTED)
         if self.is_alone():
             missing = cost - units.alone
             return SpendResult(
                 Decision.REFUSED,
-                _limit_retry(missing / self._alone_per_s(units)),
+                _limit_retry(missing * self.hosts / units.bounds.alone_per_s),
             )
         if now < units.denied_until:
             return SpendResult(
@@ -295,21 +298,32 @@
             )
         return SpendResult(Decision.ASK_LEADER)
 
+    def _spend_alone(self, units: _AccountUnits, cost: float) -> bool:
+        if units.alone >= cost:
+            units.alone -= cost
+            return True
+        if cost <= units.bounds.alone_stock / self.hosts:
+            return False
+        if not self.is_alone():
+            return False
+        # The part of one host is less than a request. Chance lets some hosts
+        # run one, and all of them together spend their parts on average.
+        share = units.alone / cost
+        units.alone = 0
+        return self._draw() < share
+
     def _refill_alone(self, units: _AccountUnits, now: float) -> None:
         """Add what a host without a leader may spend."""
         if self.is_alone():
             since = max(units.alone_at, self._contact_at + ALONE_AFTER_S)
             # What was granted counts towards what may accumulate.
             stock = max(0, units.bounds.alone_stock / self.hosts - units.held)
-            added = max(0, now - since) * self._alone_per_s(units)
+            added = max(0, now - since) * units.bounds.alone_per_s / self.hosts
             units.alone = min(max(stock, units.alone), units.alone + added)
         elif self._has_heard:
             units.alone = 0
         units.alone_at = now
 
-    def _alone_per_s(self, units: _AccountUnits) -> float:
-        return units.bounds.alone_per_s / self.hosts
-
     def _list_rows(
         self, is_due: Callable[[_AccountUnits, float], bool]
     ) -> list[UseRow]:
--- a/tests/limits/test_quotas.py
+++ b/tests/limits/test_quotas.py
@@ -218,3 +218,30 @@
     assert fleet.asked['a'] > 3000
     assert not fleet.refused['a']
     assert fleet.worst_share(account) <= 1
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_many_hosts_without_a_leader_serve_a_part(seed):
+    def stop_leader(fleet, account):
+        fleet.later(4, fleet.lead, None)
+
+    fleet, account = play(
+        380, seed, share=0.4, pick=on_all, change=stop_leader, seconds=30
+    )
+    # What leaders granted has expired at 10.
+    late = sum(cost for at, cost in fleet.spends['a'] if at > 12)
+    assert late >= RATE * 0.16 * 18
+    assert fleet.worst_share(account) <= 1
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_many_hosts_that_are_cut_off_share_the_bound(seed):
+    def cut(fleet, account):
+        for host in fleet.hosts[::2]:
+            fleet.later(4, setattr, host, 'is_cut', True)
+            fleet.later(14, setattr, host, 'is_cut', False)
+
+    fleet, account = play(
+        380, seed, share=4, pick=on_all, change=cut, seconds=20
+    )
+    assert fleet.worst_share(account) <= 1
