Read nothing from peers that read nothing, and count limits of each listener

Cause: grpclib confirms pings at once and goes on reading while its peer doesn't read. Eight connections that send pings grew the process by 8 MB in 8 s, without an end in sight. The limits that callers reached at the readiness and the metrics page weren't counted.

Change: membership/backends/bounded_server.py pauses reading while writing is paused. cassiarail_client_limits_reached has a label for the listener.

The growth of a real process was not measured again.

--- a/cassiarail/edge/metrics.py
+++ b/cassiarail/edge/metrics.py
@@ -71,7 +71,7 @@
         self._client_limits = Gauge(
             'cassiarail_client_limits_reached',
             "Times at which callers' connections reached a limit.",
-            ['limit'],
+            ['listener', 'limit'],
             registry=registry,
         )
         self.dropped_lines = Gauge(
@@ -80,10 +80,12 @@
             registry=registry,
         )
 
-    def set_limit_counts(self, counts: Mapping[str, int]) -> None:
-        """Set how often callers' connections have reached each limit."""
+    def set_limit_counts(
+        self, listener: str, counts: Mapping[str, int]
+    ) -> None:
+        """Set how often a listener's connections have reached each limit."""
         for name, count in counts.items():
-            self._client_limits.labels(name).set(count)
+            self._client_limits.labels(listener, name).set(count)
 
     def count_request(self, kind: str, verdict: str, seconds: float) -> None:
         """Count a request that has ended."""
--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -17,7 +17,11 @@
 from cassiarail.edge.registry.targets import TargetDirectory
 from cassiarail.edge.requests.caller_listener import DrainRules
 from cassiarail.edge.requests.parts import RequestDependencies, RequestParts
-from cassiarail.edge.status import MetricsListener, ReadinessListener
+from cassiarail.edge.status import (
+    MetricsListener,
+    ReadinessListener,
+    StatusListener,
+)
 from cassiarail.edge.upkeep import SettingsWatch, Upkeep
 from cassiarail.http1.pool import Address
 from cassiarail.routing.reachability import ReachabilityTracker
@@ -118,8 +122,7 @@
         )
 
     def _build_components(self, path: pathlib.Path) -> list[Component]:
-        readiness = self._settings['readiness']
-        metrics = self._settings['metrics']
+        self._status_listeners = self._build_status_listeners()
         return [
             self._registry_parts.watches,
             *self._control.components,
@@ -135,6 +138,14 @@
                 self._reconnect_after_suspension,
             ),
             SettingsWatch(path, self._clock, self._apply, self._settings),
+            *self._status_listeners,
+            self._caller_listener,
+        ]
+
+    def _build_status_listeners(self) -> list[StatusListener]:
+        readiness = self._settings['readiness']
+        metrics = self._settings['metrics']
+        return [
             MetricsListener(
                 Address.parse(metrics['address']),
                 metrics['path'],
@@ -146,7 +157,6 @@
                 readiness['path'],
                 self.is_ready,
             ),
-            self._caller_listener,
         ]
 
     def _on_directory_change(self) -> None:
@@ -169,6 +179,8 @@
             len(self._control.crashes.quarantines.all)
         )
         self._requests.refresh_metrics()
+        for each in self._status_listeners:
+            self._metrics.set_limit_counts(each.name, each.limit_counts)
         self._metrics.dropped_lines.set(self._log_writer.dropped)
 
     def _reconnect_after_suspension(self) -> None:
--- a/cassiarail/edge/requests/caller_listener.py
+++ b/cassiarail/edge/requests/caller_listener.py
@@ -73,7 +73,7 @@
 
     def refresh_metrics(self) -> None:
         """Update how often callers' connections have reached their limits."""
-        self._metrics.set_limit_counts(self._listener.limit_counts)
+        self._metrics.set_limit_counts(self.name, self._listener.limit_counts)
 
     async def start(self) -> None:
         """Start listening."""
--- a/cassiarail/edge/status.py
+++ b/cassiarail/edge/status.py
@@ -2,7 +2,7 @@
 
 import abc
 import http
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from prometheus_client import CollectorRegistry
 
@@ -21,6 +21,11 @@
         self._path = path.encode()
         self._listener = Http1Listener(address, self._dispatch)
 
+    @property
+    def limit_counts(self) -> Mapping[str, int]:
+        """Return how often connections have reached each limit."""
+        return self._listener.limit_counts
+
     async def start(self) -> None:
         """Start listening."""
         await self._listener.start()
--- a/cassiarail/membership/backends/grpc.py
+++ b/cassiarail/membership/backends/grpc.py
@@ -8,7 +8,6 @@
 from grpclib.client import Channel
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
-from grpclib.server import Server
 
 from cassiarail.core.events import emit_event
 from cassiarail.core.exceptions import PeerRejectedError
@@ -18,6 +17,7 @@
     PeerTransport,
     Traffic,
 )
+from cassiarail.membership.backends.bounded_server import BoundedServer
 from cassiarail.membership.backends.codec import SignedCodec
 from cassiarail.membership.events import PEER_REJECTED
 from cassiarail.membership.exceptions import (
@@ -146,7 +146,7 @@
         self.port = 0
         self._stopped = False
         self._tls = tls
-        self._server = Server(
+        self._server = BoundedServer(
             [_PeersAdapter(peers, self), _FeedAdapter(feed, self)],
             codec=_ServerCodec(codec, self.traffic),
         )
