--- a/cassiarail/edge/process.py
+++ b/cassiarail/edge/process.py
@@ -21,7 +21,11 @@
 from cassiarail.edge.requests.caller_listener import DrainRules
 from cassiarail.edge.requests.parts import RequestDependencies, RequestParts
 from cassiarail.edge.requests.quotas import QuotaMetrics
-from cassiarail.edge.status import MetricsListener, ReadinessListener
+from cassiarail.edge.status import (
+    MetricsListener,
+    ReadinessListener,
+    StatusListener,
+)
 from cassiarail.edge.upkeep import SettingsWatch, Upkeep
 from cassiarail.http1.pool import Address
 from cassiarail.routing.reachability import ReachabilityTracker
@@ -128,8 +132,7 @@
         )
 
     def _build_components(self, path: pathlib.Path) -> list[Component]:
-        readiness = self._settings['readiness']
-        metrics = self._settings['metrics']
+        self._status_listeners = self._build_status_listeners()
         return [
             self._registry_parts.watches,
             *self._control.components,
@@ -147,6 +150,14 @@
                 self._reconnect_after_suspension,
             ),
             SettingsWatch(path, self._clock, self._apply, self._settings),
+            *self._status_listeners,
+            self._caller_listener,
+        ]
+
+    def _build_status_listeners(self) -> list[StatusListener]:
+        readiness = self._settings['readiness']
+        metrics = self._settings['metrics']
+        return [
             MetricsListener(
                 Address.parse(metrics['address']),
                 metrics['path'],
@@ -158,7 +169,6 @@
                 readiness['path'],
                 self.is_ready,
             ),
-            self._caller_listener,
         ]
 
     def _on_directory_change(self) -> None:
@@ -181,6 +191,8 @@
             len(self._control.crashes.quarantines.all)
         )
         self._requests.refresh_metrics()
+        for each in self._status_listeners:
+            self._metrics.set_limit_counts(each.name, each.limit_counts)
         self._metrics.dropped_lines.set(self._log_writer.dropped)
 
     def _reconnect_after_suspension(self) -> None:
