Hold no units of a quota for requests that wait for their model

Cause: a request was charged when it was admitted and kept its units while it waited for a model, for up to seconds; units come back within 0.1 s only, so those of requests that were refused in the end were lost to their account.

Change: the units are returned before the wait, and spent after it.

Measured: the new test fails without the change and passes with it.

--- a/cassiarail/edge/requests/forwarding.py
+++ b/cassiarail/edge/requests/forwarding.py
@@ -309,6 +309,8 @@
             )
         engine = service.engine
         loop = asyncio.get_running_loop()
+        # Units that a request doesn't use yet are for others meanwhile.
+        self._parts.admission.settle(job)
         with job.timeline.time_model_wait(loop.time):
             is_available = await self._parts.waits.wait(
                 service.name,
@@ -330,6 +332,7 @@
                 'no engine can hold the model in time',
                 load_s,
             )
+        await self._parts.admission.charge(job)
 
     def _is_load_too_late(self, job: Job, engine: EngineType) -> bool:
         until = min(
