Count requests at targets in one place, and bound the rows of loads

Cause: the choice by first token had a copy of the usage record of the choice by load; an update repeated the loads of all targets, however many.

Change: routing/usage.py serves both.

--- a/cassiarail/edge/fleet/load_exchange.py
+++ b/cassiarail/edge/fleet/load_exchange.py
@@ -5,6 +5,7 @@
 those of all hosts in its regular updates.
 """
 
+import heapq
 import math
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
@@ -15,6 +16,8 @@
 _MS = 1000
 # Older loads say little: requests take about a second.
 _MAX_AGE_S = 1.5
+# Rows of an update; the newest, so that a datagram stays below 5 kB.
+_MAX_ROWS = 256
 
 OnLoad = Callable[[str, int, float], None]
 
@@ -66,7 +69,7 @@
         return rows
 
     def list_all(self) -> list[LoadRow]:
-        """Return the recent loads of all targets, and forget the others."""
+        """Return the newest loads of all targets, and forget old ones."""
         rows = self._list_recent(self._known)
         recent = {row.instance for row in rows}
         self._known = {
@@ -74,7 +77,7 @@
             for instance, known in self._known.items()
             if instance in recent
         }
-        return rows
+        return heapq.nsmallest(_MAX_ROWS, rows, key=lambda row: row.age_ms)
 
     def _list_recent(self, instances: Iterable[str]) -> list[LoadRow]:
         now = self._clock.monotonic()
--- a/cassiarail/routing/earliest.py
+++ b/cassiarail/routing/earliest.py
@@ -11,11 +11,8 @@
 from typing import NamedTuple
 
 from cassiarail.routing.slowdowns import SlowdownTracker
+from cassiarail.routing.usage import TargetUsage
 
-# The estimated load from other hosts decays to zero at this age of the report.
-_REPORT_LIFETIME_S = 2.0
-# Smoothing weight of a new report; single reports are bursty.
-_REPORT_WEIGHT = 0.5
 # Added to the cost of remote targets, as a share of the slots: traffic between
 # data centres is priced, and a tie should stay local.
 _REMOTE_PENALTY = 0.02
@@ -30,30 +27,6 @@
     is_local: bool
 
 
-class TargetUsage:
-    """Count own requests at a target and estimate those of other hosts."""
-
-    def __init__(self) -> None:
-        self.own = 0
-        self._others = float(0)
-        self._reported_at = float('-inf')
-
-    def record_report(self, total: int, now: float) -> None:
-        """Record a target's reported request count, own requests included."""
-        others = max(0, total - self.own)
-        if now - self._reported_at > _REPORT_LIFETIME_S:
-            self._others = others
-        else:
-            self._others += _REPORT_WEIGHT * (others - self._others)
-        self._reported_at = now
-
-    def estimate(self, now: float) -> float:
-        """Return the expected requests at the target."""
-        age = now - self._reported_at
-        freshness = max(0, 1 - age / _REPORT_LIFETIME_S)
-        return self.own + self._others * freshness
-
-
 class EarliestStartSelector:
     """Track the usage of all targets and select the least loaded."""
 
--- a/cassiarail/routing/first_tokens.py
+++ b/cassiarail/routing/first_tokens.py
@@ -15,12 +15,8 @@
 from typing import NamedTuple, TypeVar
 
 from cassiarail.routing.speeds import ServiceSpeeds
+from cassiarail.routing.usage import TargetUsage
 
-# A report counts less as it ages; from this age on, a target is expected to
-# have as many requests of other hosts as is usual.
-_REPORT_LIFETIME_S = 2.0
-# Weight of a new report; single reports are bursty.
-_REPORT_WEIGHT = 0.5
 _MIN_DEVIATION = 0.5
 # Targets that are compared for a request.
 _DRAWN = 2
@@ -74,41 +70,18 @@
         return self.wait_s + self.reading_s
 
 
-class _TargetWork:
-    """Count own requests at a target and estimate those of other hosts."""
+class _TargetWork(TargetUsage):
+    """Count the tokens of own requests at a target, too."""
 
     def __init__(self) -> None:
-        self.own = 0
+        super().__init__()
         self.own_tokens = 0
-        self._others = float(0)
-        self._reported_at = -math.inf
-
-    @property
-    def reported_at(self) -> float:
-        """Return when the newest report was made."""
-        return self._reported_at
 
     @property
     def is_idle(self) -> bool:
         """Return whether this host has no request at the target."""
         return not self.own
 
-    def record(self, total: int, now: float) -> float:
-        """Record a reported count; return the requests of other hosts."""
-        others = max(0, total - self.own)
-        if now - self._reported_at > _REPORT_LIFETIME_S:
-            self._others = others
-        else:
-            self._others += _REPORT_WEIGHT * (others - self._others)
-        self._reported_at = now
-        return others
-
-    def estimate_others(self, usual: float, now: float) -> float:
-        """Return the expected requests of other hosts."""
-        age_s = now - self._reported_at
-        freshness = max(0, 1 - age_s / _REPORT_LIFETIME_S)
-        return usual + freshness * (self._others - usual)
-
 
 class FirstTokenEstimator:
     """Know the work at all targets and estimate what one more would meet."""
@@ -144,7 +117,7 @@
         self, service: str, instance: str, total: int, now: float
     ) -> None:
         """Record the requests that a target reports, own ones included."""
-        others = self._works[instance].record(total, now)
+        others = self._works[instance].record_report(total, now)
         self._speeds[service].record_others(others)
 
     def record_shared(
@@ -156,7 +129,7 @@
         """
         work = self._works[instance]
         if reported_at > work.reported_at:
-            work.record(total, reported_at)
+            work.record_report(total, reported_at)
 
     def retain(self, instances: Iterable[str]) -> None:
         """Forget targets that are neither named nor in use."""
--- a/tests/edge/fleet/test_load_exchange.py
+++ b/tests/edge/fleet/test_load_exchange.py
@@ -95,3 +95,15 @@
     rows = leader.list_all()
     assert len(rows) == 112
     assert sum(len(row.instance) + 6 for row in rows) < 2500
+
+
+def test_the_newest_loads_of_a_large_fleet_are_passed_on(clock):
+    leader, _ = make_host(clock)
+    for number in range(1100):
+        leader.record(f'i-{number}', 1)
+        clock.advance(0.001)
+    rows = leader.list_all()
+    assert len(rows) == 256
+    assert {row.instance for row in rows} == {
+        f'i-{number}' for number in range(1100 - 256, 1100)
+    }
