Send no keys in copies of the configuration

Cause: copies of the configuration to hosts without the store held the keys of client accounts; a key may be in no message between hosts.

Change: copies hold digests in place of keys and decode to the same accounts.

--- a/cassiarail/edge/dialect.py
+++ b/cassiarail/edge/dialect.py
@@ -139,6 +139,13 @@
         Raises ``UnreadableDocumentError`` if it is invalid.
         """
 
+    @abc.abstractmethod
+    def hide_keys(self, document: Any) -> Any:
+        """Return a configuration that contains no keys of callers.
+
+        It decodes to the same configuration.
+        """
+
     @abc.abstractmethod
     def encode_order(
         self,
--- a/cassiarail/edge/fleet/configuration_copies.py
+++ b/cassiarail/edge/fleet/configuration_copies.py
@@ -81,7 +81,9 @@
         self._copy = None
         if not configuration.accounts:
             return
-        compressed = zlib.compress(msgspec.json.encode(document))
+        # Keys never leave a host; their digests serve as well.
+        hidden = self._dialect.hide_keys(document)
+        compressed = zlib.compress(msgspec.json.encode(hidden))
         if len(compressed) > _MAX_COPY_BYTES:
             emit_event(
                 CONFIGURATION_COPY_TOO_LONG,
--- a/cassiarail/platform/accounts.py
+++ b/cassiarail/platform/accounts.py
@@ -12,13 +12,20 @@
 from cassiarail.security.keys import compute_key_digest
 
 _QUOTA_UNIT = 'tokens'
+_TENANTS = 'tenants'
+_KEYS = 'api_keys'
+_DIGESTS = 'key_digests'
 
 
 class Tenant(msgspec.Struct):
-    """Define a client account; ``rate_per_s`` and ``burst`` count units."""
+    """Define a client account; ``rate_per_s`` and ``burst`` count units.
+
+    ``key_digests`` stand for keys in copies of a configuration between hosts.
+    """
 
     name: str
     api_keys: list[str] = []
+    key_digests: list[str] = []
     priority: int | None = None
     unit: str = ''
     plain_tokens: float = 1
@@ -32,6 +39,21 @@
     tenants: list[Tenant] = []
 
 
+def hide_keys(document: Any) -> Any:
+    """Return a copy of a configuration with digests in place of the keys."""
+    tenants = [
+        {
+            **{name: tenant[name] for name in tenant if name != _KEYS},
+            _DIGESTS: [
+                *map(compute_key_digest, tenant.get(_KEYS, ())),
+                *tenant.get(_DIGESTS, ()),
+            ],
+        }
+        for tenant in document.get(_TENANTS, ())
+    ]
+    return {**document, _TENANTS: tenants} if tenants else document
+
+
 def list_keys(document: Any) -> list[str]:
     """Return the keys in a configuration, also if it is invalid otherwise."""
     try:
@@ -55,6 +77,6 @@
     )
     return AccountKeys(
         account,
-        list(map(compute_key_digest, tenant.api_keys)),
+        [*map(compute_key_digest, tenant.api_keys), *tenant.key_digests],
         0 if has_quota else tenant.burst,
     )
--- a/cassiarail/platform/dialect.py
+++ b/cassiarail/platform/dialect.py
@@ -24,7 +24,7 @@
     find_header,
     strip_hop_headers,
 )
-from cassiarail.platform import documents, headers
+from cassiarail.platform import accounts, documents, headers
 from cassiarail.security.keys import parse_bearer
 
 _MS = 1000
@@ -116,6 +116,10 @@
         """Decode the operator's configuration."""
         return documents.decode_configuration(document)
 
+    def hide_keys(self, document: Any) -> Any:
+        """Return a configuration with digests in place of callers' keys."""
+        return accounts.hide_keys(document)
+
     def encode_order(
         self,
         order: Order,
--- a/tests/edge/fleet/test_configuration_copies.py
+++ b/tests/edge/fleet/test_configuration_copies.py
@@ -4,6 +4,8 @@
 away, although the leader, which reached it, knew better.
 """
 
+import zlib
+
 import pytest
 
 from cassiarail.core.clock import ManualClock
@@ -79,6 +81,23 @@
     assert accounts.find_by_key('other').name == 'hule'
 
 
+def test_no_key_leaves_a_host(clock):
+    leader, host = make_hosts(clock)
+    third = Host(clock)
+    clock.advance(1.1)
+    leader.copies.answer(host.report(), HOST)
+    copy = decode_message(leader.sent[0])
+    assert b'other' not in zlib.decompress(copy.document)
+    # A host passes on what it has from another one.
+    assert host.copies.receive(copy)
+    clock.advance(1.1)
+    host.copies.answer(third.report(), HOST)
+    assert third.copies.receive(decode_message(host.sent[0]))
+    accounts = third.current.current.accounts
+    assert accounts.find_by_key('other').name == 'hule'
+    assert accounts.find_by_key(KEY) is None
+
+
 def test_hosts_that_read_the_store_get_no_copies(clock):
     leader, host = make_hosts(clock)
     leader.copies.answer(host.report(), HOST)
