--- a/cassiarail/store/eras.py
+++ b/cassiarail/store/eras.py
@@ -29,6 +29,9 @@
 class EarlierEraError(StoreUnavailableError):
     """Report what was read in an earlier era than the known one."""
 
+    error_id = 'CR4007'
+    code = 'earlier_era'
+
 
 class Version(NamedTuple):
     """Hold the parts of a version; ``number`` orders those of an era."""
