--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -134,6 +134,7 @@
     def __init__(self, number, store_port, folder, record, bounds):
         self.name = f'front-{ZONES[number % 3]}-{number}'
         self.ends = []
+        self.has_recorded_end = False
         self.peak_mb = 0
         self.ready_times = []
         self.process = None
@@ -194,6 +195,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.has_recorded_end = False
         self._record.write(f'{self.name} starts as {self.process.pid}')
 
     @property
@@ -310,17 +312,15 @@
                     await process.process.wait()
                     self._end(process, f'{used_mb:.0f} MB, over {RAM_MB} MB')
                 continue
-            if process.process.returncode is not None:
-                if not process.ends or process.ends[-1][0] != id(
-                    process.process
-                ):
-                    status = process.process.returncode
-                    self._end(process, f'ended by itself, status {status}')
-                await asyncio.sleep(_RESTART_S)
-                await process.start()
+            if not process.has_recorded_end:
+                status = process.process.returncode
+                self._end(process, f'ended by itself, status {status}')
+            await asyncio.sleep(_RESTART_S)
+            await process.start()
 
     def _end(self, process, reason):
-        process.ends.append((id(process.process), reason))
+        process.has_recorded_end = True
+        process.ends.append(reason)
         self.record.write(f'{process.name} ends: {reason}', show=True)
 
     async def _poll_readiness(self, process):
