Bound what readiness and metrics keep of their clients

Callers saw: clients that send bodies to these listeners grow the process by 33 to 60 MB; beside the budget of callers' bodies, each of the two had one of 32 MiB and 3,000 connections, in a process that may use 160 to 300 MB. Cause: the listeners took the defaults of the callers' listener. Change: bodies of 16 KiB, 1 MiB in all and 128 connections. The platform and scrapers send requests without a body.

--- a/cassiarail/conf/global_defaults.py
+++ b/cassiarail/conf/global_defaults.py
@@ -26,6 +26,11 @@
 # is handled.
 CALLER_AHEAD_BYTES = 16_384
 CALLER_UNREAD_BYTES = 16_384
+# Listeners for readiness, metrics and operators: their requests have no body or
+# a short one, and a few clients send them.
+STATUS_BODY_MAX_BYTES = 16_384
+STATUS_MEMORY_BYTES = 1_048_576
+STATUS_CONNECTIONS_MAX = 128
 PEER_TIMEOUT_S = 1.0
 
 HEARTBEAT_INTERVAL_S = 1.0
--- a/cassiarail/edge/status.py
+++ b/cassiarail/edge/status.py
@@ -6,12 +6,21 @@
 
 from prometheus_client import CollectorRegistry
 
+from cassiarail.conf.global_defaults import (
+    STATUS_BODY_MAX_BYTES,
+    STATUS_CONNECTIONS_MAX,
+    STATUS_MEMORY_BYTES,
+)
 from cassiarail.core.lifecycle import Component
+from cassiarail.http1.assembly import ClientLimits
+from cassiarail.http1.client_memory import build_client_memory
 from cassiarail.http1.exchanges import Exchange
 from cassiarail.http1.listener import Http1Listener
 from cassiarail.http1.pool import Address
 from cassiarail.telemetry.metrics import CONTENT_TYPE, render_metrics
 
+_LIMITS = ClientLimits(body_max_bytes=STATUS_BODY_MAX_BYTES)
+
 
 class StatusListener(Component):
     """Serve the platform's requests on one path."""
@@ -19,7 +28,13 @@
     def __init__(self, name: str, address: Address, path: str) -> None:
         self.name = name
         self._path = path.encode()
-        self._listener = Http1Listener(address, self._dispatch)
+        self._listener = Http1Listener(
+            address,
+            self._dispatch,
+            lambda: _LIMITS,
+            memory=build_client_memory(STATUS_MEMORY_BYTES),
+            max_connections=STATUS_CONNECTIONS_MAX,
+        )
 
     @property
     def limit_counts(self) -> Mapping[str, int]:
