Keep nothing of requests that have had their response

Cause: the budget gave the bytes back as the response ended, but the body and the head stayed referenced by the connection until its next request. A closed connection was part of reference cycles (callbacks of the writer and of the turn, partial methods), which wait for a garbage collector that runs rarely. Change: the writer forgets head and body as the response ends; a connection that is lost drops its callbacks once its handler has ended.

--- a/cassiarail/edge/requests/forwarding.py
+++ b/cassiarail/edge/requests/forwarding.py
@@ -358,11 +358,13 @@
         return self._parts.estimate_load_s(job.service.name, variant)
 
     def _refuse_unadmitted(self, exchange: Exchange, refusal: Refusal) -> None:
+        # The exchange holds nothing of a request that has its response.
+        target = exchange.head.target.decode('latin-1')
         refuse(exchange, refusal)
         emit_event(
             REQUEST_REFUSED,
             peer=exchange.peer,
-            target=exchange.head.target.decode('latin-1'),
+            target=target,
             status=refusal.status,
             reason=refusal.reason,
         )
--- a/cassiarail/http1/assembly.py
+++ b/cassiarail/http1/assembly.py
@@ -12,6 +12,7 @@
 _CONFLICTING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 
 _MAJOR_VERSION = b'1.'
+_EMPTY_HEAD = RequestHead(b'', b'', [])
 
 
 class ClientLimits(NamedTuple):
@@ -48,8 +49,7 @@
     """Assemble a request from the events of the parser."""
 
     def __init__(self) -> None:
-        self.head = RequestHead(b'', b'', [])
-        self.body = b''
+        self.head = _EMPTY_HEAD
         self._chunks: list[bytes] = []
         self._size = 0
 
@@ -94,10 +94,11 @@
 
     def discard(self) -> None:
         """Forget what was read of a request."""
-        self.body = b''
+        self.head = _EMPTY_HEAD
         self._chunks = []
 
-    def finish(self) -> None:
-        """Join the chunks of the body."""
-        self.body = b''.join(self._chunks)
-        self._chunks = []
+    def finish(self) -> tuple[RequestHead, bytes]:
+        """Return the complete request, and keep nothing of it."""
+        complete = (self.head, b''.join(self._chunks))
+        self.discard()
+        return complete
--- a/cassiarail/http1/server_connections.py
+++ b/cassiarail/http1/server_connections.py
@@ -5,7 +5,6 @@
 import http
 import inspect
 from collections.abc import Callable
-from functools import partial
 from typing import cast
 
 import h11
@@ -94,8 +93,6 @@
         self._is_ahead_revoked = False
         self._is_stopping = False
         self._turn = Turn(listener.turns, self._begin_request)
-        self.refuse_slow = partial(self._refuse, build_timeout_error())
-        self._refuse_stale = partial(self._refuse, build_memory_error())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start waiting for the first request."""
@@ -138,12 +135,17 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request of a client that has disconnected."""
-        self._turn.leave()
+        self._turn.close()
         self._memory.release()
         self._cancel_response()
         self._timer.cancel()
         self.state = ConnectionState.CLOSED
         self._listener.remove(self)
+        self._assembler.discard()
+        if self._task is None or self._task.done():
+            self._writer.close()
+        else:
+            self._task.add_done_callback(self._writer.close)
 
     def pause_writing(self) -> None:
         """Block further chunks while the client doesn't read."""
@@ -173,6 +175,10 @@
         if not transport.is_closing():
             close_gracefully(transport, self._timer)
 
+    def refuse_slow(self) -> None:
+        """Refuse a request whose client is too slow."""
+        self._refuse(build_timeout_error())
+
     def refuse_unread(self) -> None:
         """Refuse a request of which only a part was read."""
         # A request that is complete in the buffer is handled instead.
@@ -204,6 +210,10 @@
             self.refuse_unread()
         self.close()
 
+    def _refuse_stale(self) -> None:
+        """Refuse a request whose memory others need."""
+        self._refuse(build_memory_error())
+
     def _begin_request(self) -> None:
         self.state = ConnectionState.READING
         self.head_since = self._loop.time()
@@ -239,7 +249,6 @@
             self._memory.take_body(len(event.data), self._refuse_stale)
             self._assembler.add(bytes(event.data), self._limits)
         elif isinstance(event, h11.EndOfMessage):
-            self._assembler.finish()
             self._memory.keep_body()
             self._start_response()
 
@@ -249,7 +258,7 @@
         self.receives_body = False
         self.hold_ahead(len(self._parser.trailing_data[0]))
         writer = self._writer
-        writer.begin_exchange(self._assembler.head, self._assembler.body)
+        writer.begin_exchange(*self._assembler.finish())
         is_draining = self._listener.is_draining
         writer.idle_s = 0 if is_draining else self._limits.idle_s
         self._task = self._loop.create_task(
@@ -266,6 +275,7 @@
         if self.state is not ConnectionState.RESPONDING:
             return
         self._listener.record_use(self)
+        self._writer.end_exchange()
         self._memory.release_body()
         if not is_reusable or self._transport is None:
             self.close()
@@ -329,9 +339,10 @@
         self._turn.leave()
         self._memory.release_body()
         self._memory.release_ahead()
+        method = self._assembler.head.method
         self._assembler.discard()
         self._listener.count_unread(error.status, error.reason)
-        self._writer.refuse(error, self._assembler.head.method)
+        self._writer.refuse(error, method)
         self.close()
 
     def _cancel_response(self) -> None:
--- a/cassiarail/http1/turns.py
+++ b/cassiarail/http1/turns.py
@@ -50,6 +50,10 @@
         return member
 
 
+def _ignore(*_facts: object) -> None:
+    """Take the place of a callback to an owner that has ended."""
+
+
 class TurnPasses:
     """Start a few of the turns that are awaited in each pass of the loop."""
 
@@ -106,3 +110,8 @@
         if self.is_awaited:
             self.is_awaited = False
             self._passes.queue.discard(self.client, self)
+
+    def close(self) -> None:
+        """Wait no more, and forget the connection."""
+        self.leave()
+        self._start = _ignore
--- a/cassiarail/http1/writing.py
+++ b/cassiarail/http1/writing.py
@@ -73,6 +73,21 @@
         self.progress = ResponseProgress.NOT_BEGUN
         self.status = 0
 
+    def end_exchange(self) -> None:
+        """Keep nothing of a request that has its response."""
+        self.head = RequestHead(b'', b'', [])
+        self.body = b''
+
+    def close(self, *_task: object) -> None:
+        """Keep nothing, and forget the connection, which has ended.
+
+        Reference cycles would leave both to the garbage collector, which is
+        set to run rarely.
+        """
+        self.end_exchange()
+        self._on_response_end = _ignore
+        self._is_last = _ignore
+
     def detach(self) -> None:
         """Discard all further bytes because the client has disconnected."""
         self._transport = None
@@ -177,6 +192,11 @@
             self._transport.write(encoded)
 
 
+def _ignore(*_facts: object) -> bool:
+    """Take the place of a callback to a connection that has ended."""
+    return False
+
+
 def _find_reason_phrase(status: int) -> bytes:
     try:
         return http.HTTPStatus(status).phrase.encode()
