Refuse bodies that are announced above the limit at once

Callers saw: others lost their bodies to the budget, because a client that announced a body above the limit was read up to the limit first. Cause: the announced length wasn't compared with the limit. Change: 413 with the head. Chunked bodies are still refused as they exceed it. Evidence: the excessive shapes of test_bodies_at_the_entry.

--- a/cassiarail/http1/assembly.py
+++ b/cassiarail/http1/assembly.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from cassiarail.http1.messages import RequestHead
+from cassiarail.http1.messages import RequestHead, find_header
 from cassiarail.http1.refusals import RefusedRequestError
 
 # Parsers disagree on the body of a request that has both headers.
@@ -81,14 +81,14 @@
                 http.HTTPStatus.BAD_REQUEST,
                 'both Content-Length and Transfer-Encoding are set',
             )
+        announced = find_header(self.head.headers, b'content-length')
+        if announced is not None and int(announced) > limits.body_max_bytes:
+            raise _build_size_error()
 
     def add(self, chunk: bytes | bytearray, limits: ClientLimits) -> None:
         """Add body bytes; raise ``UnreadRequestError`` above the limit."""
         if len(self._body) + len(chunk) > limits.body_max_bytes:
-            raise UnreadRequestError(
-                http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                'body is too large',
-            )
+            raise _build_size_error()
         self._body += chunk
 
     def discard(self) -> None:
@@ -101,3 +101,10 @@
         complete = (self.head, bytes(self._body))
         self.discard()
         return complete
+
+
+def _build_size_error() -> UnreadRequestError:
+    return UnreadRequestError(
+        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        'body is too large',
+    )
