Parse a bounded part of a request in one turn

Cause: all events of a piece were handled before the event loop went on; a piece of 64 KiB holds 11,000 chunks, and the loop reads up to 32 pieces of a connection at once. Change: a connection handles 32 events, then pauses reading and waits for its turn, as requests that were sent ahead do: a few turns in a pass of the loop, clients in order. What waits is counted by the budget, and by the limit "turns".

--- a/cassiarail/http1/server_connections.py
+++ b/cassiarail/http1/server_connections.py
@@ -37,6 +37,9 @@
 # Clients reuse connections until shortly before the idle limit. Closing later
 # than the limit avoids closing while a new request is in flight.
 _IDLE_MARGIN_S = 0.5
+# Chunks that a connection may send in one piece are thousands. These take less
+# than a millisecond to parse; the rest waits for the connection's next turn.
+EVENTS_PER_TURN = 32
 
 
 _FINAL = frozenset((ConnectionState.CLOSING, ConnectionState.CLOSED))
@@ -90,9 +93,10 @@
         )
         self._task: asyncio.Task[None] | None = None
         self._assembler = RequestAssembler()
+        self._is_starved = False
         self._is_ahead_revoked = False
         self._is_stopping = False
-        self._turn = Turn(listener.turns, self._begin_request)
+        self._turn = Turn(listener.turns, self._take_turn)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start waiting for the first request."""
@@ -214,6 +218,13 @@
         """Refuse a request whose memory others need."""
         self._refuse(build_memory_error())
 
+    def _take_turn(self) -> None:
+        """Go on with a body, or with a request that was sent ahead."""
+        if self.receives_body:
+            self._read_request()
+        else:
+            self._begin_request()
+
     def _begin_request(self) -> None:
         self.state = ConnectionState.READING
         self.head_since = self._loop.time()
@@ -221,23 +232,43 @@
         self._read_request()
 
     def _read_request(self) -> None:
-        while self.state is ConnectionState.READING:
+        """Parse what was received, a bounded part of it in one turn."""
+        for _ in range(EVENTS_PER_TURN):
+            if self.state is not ConnectionState.READING:
+                return
             try:
-                event = self._parser.next_event()
+                self._read_event()
             except h11.RemoteProtocolError as error:
                 self._refuse(
                     UnreadRequestError(error.error_status_hint, str(error)),
                 )
-                return
-            if event is h11.NEED_DATA:
-                self._await_bytes()
-                return
-            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                return
-            try:
-                self._process_event(event)
             except UnreadRequestError as error:
                 self._refuse(error)
+            if self._is_starved:
+                return
+        if self.state is ConnectionState.READING:
+            self._wait_for_turn()
+
+    def _read_event(self) -> None:
+        event = self._parser.next_event()
+        self._is_starved = (
+            event is h11.NEED_DATA
+            or event is h11.PAUSED
+            or isinstance(event, h11.ConnectionClosed)
+        )
+        if event is h11.NEED_DATA:
+            self._await_bytes()
+        elif not self._is_starved:
+            self._process_event(event)
+
+    def _wait_for_turn(self) -> None:
+        """Let others have their turns before the rest is parsed."""
+        self._count_limit('turns')
+        self.pause_reading()
+        unread_bytes = len(self._parser.trailing_data[0])
+        self._memory.hold_ahead(unread_bytes, self.revoke_ahead)
+        if self.state is ConnectionState.READING:
+            self._turn.wait()
 
     def _process_event(self, event: object) -> None:
         if isinstance(event, h11.Request):
@@ -320,9 +351,8 @@
     def _await_bytes(self) -> None:
         """Wait for the rest of a request."""
         self._writer.send_continue()
-        if not self.receives_body:
-            unread_bytes = len(self._parser.trailing_data[0])
-            self._memory.hold_ahead(unread_bytes, self.revoke_ahead)
+        unread_bytes = len(self._parser.trailing_data[0])
+        self._memory.hold_ahead(unread_bytes, self.revoke_ahead)
         self.resume_reading()
 
     def revoke_ahead(self) -> None:
