Read requests in a module of their own, and count what buffers take

Reading and responding were one class of 28 methods. The reader parses, counts and waits for turns; the connection responds. A stop parses all that is in the buffer of a connection, as no other turn follows: a body in more chunks than a turn holds would be refused although it was complete.

A buffer that grows has an eighth more than its length; the budget counts that too.

Evidence: tests/http1/test_request_reading.py: events parsed in a pass are bounded whatever a crowd sends, a request is answered meanwhile, a closed connection is freed without a collection.

--- a/cassiarail/http1/assembly.py
+++ b/cassiarail/http1/assembly.py
@@ -55,14 +55,13 @@
         # One buffer for all chunks: an object for each would take many times
         # the bytes of small ones.
         self._body = bytearray()
+        self._head_bytes = 0
 
     @property
     def held_bytes(self) -> int:
         """Return what the head and the body take in memory."""
-        target, fields = self.head.target, self.head.headers
-        texts = sum(len(name) + len(text) for name, text in fields)
-        head_bytes = len(target) + texts + _FIELD_BYTES * len(fields)
-        return head_bytes + len(self._body)
+        # A buffer that grows has an eighth more than its length.
+        return self._head_bytes + self._body.__alloc__()
 
     def begin(self, event: h11.Request, limits: ClientLimits) -> None:
         """Store the head; raise ``UnreadRequestError`` if it is invalid."""
@@ -81,6 +80,7 @@
         size = len(self.head.target) + sum(
             len(name) + len(text) for name, text in self.head.headers
         )
+        self._head_bytes = size + _FIELD_BYTES * len(self.head.headers)
         if size > limits.head_max_bytes:
             raise UnreadRequestError(
                 http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -105,6 +105,7 @@
         """Forget what was read of a request."""
         self.head = _EMPTY_HEAD
         self._body = bytearray()
+        self._head_bytes = 0
 
     def finish(self) -> tuple[RequestHead, bytes]:
         """Return the complete request, and keep nothing of it."""
--- a/cassiarail/http1/listener.py
+++ b/cassiarail/http1/listener.py
@@ -7,6 +7,7 @@
 import math
 import os
 import socket
+import ssl
 from collections.abc import Awaitable, Callable, Iterator
 
 from cassiarail.conf.global_defaults import CALLER_CONNECTIONS_MAX
@@ -20,6 +21,10 @@
 )
 from cassiarail.http1.exchanges import Exchange, ResponseProgress
 from cassiarail.http1.pool import Address
+from cassiarail.http1.refusals import (
+    RefusalRenderer,
+    render_plain_refusal,
+)
 from cassiarail.http1.server_connections import (
     ConnectionOwner,
     ServerConnection,
@@ -46,9 +51,12 @@
         count_unread: Callable[[int, str], None] | None = None,
         memory: ByteBudget | None = None,
         max_connections: int = CALLER_CONNECTIONS_MAX,
+        render_refusal: RefusalRenderer = render_plain_refusal,
     ) -> None:
         """Call ``limits`` for each request, ``count_unread`` on rejections.
 
+        ``render_refusal`` builds the response to a rejected request.
+
         ``memory`` limits the bodies of all requests, and the responses that
         clients don't read. Above ``max_connections``, the connection that has
         been idle for the longest time is closed, or the one that has held back
@@ -58,6 +66,7 @@
         self.limit_counts: collections.Counter[str] = collections.Counter()
         self._max_connections = max_connections
         self.limits = limits
+        self.render_refusal = render_refusal
         self.memory = memory or build_client_memory()
         self.turns = TurnPasses(_call_soon)
         self.is_draining = False
@@ -84,14 +93,23 @@
         """Return the number of client connections."""
         return len(self._connections)
 
-    async def start(self) -> None:
-        """Start listening."""
+    @property
+    def port(self) -> int:
+        """Return the port that the listener is bound to, or its setting."""
+        if self._server is None or not self._server.sockets:
+            return self._address.port
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    async def start(self, tls: ssl.SSLContext | None = None) -> None:
+        """Start listening, with TLS if a context is given."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             self._build_connection,
             self._address.host,
             self._address.port,
             backlog=_BACKLOG,
+            ssl=tls,
         )
 
     def stop(self) -> None:
--- a/cassiarail/http1/refusals.py
+++ b/cassiarail/http1/refusals.py
@@ -1,5 +1,7 @@
 """Define how requests are refused that have not run."""
 
+from collections.abc import Callable
+
 from cassiarail.http1.messages import Headers
 
 
@@ -25,3 +27,12 @@
         if self.retry_after_s is None:
             return []
         return [(b'retry-after', b'%.2f' % self.retry_after_s)]
+
+
+# Returns the headers and the body of the response to a refused request.
+RefusalRenderer = Callable[[RefusedRequestError], tuple[Headers, bytes]]
+
+
+def render_plain_refusal(error: RefusedRequestError) -> tuple[Headers, bytes]:
+    """Return the reason as text."""
+    return error.list_headers(), error.reason.encode()
--- a/cassiarail/http1/server_connections.py
+++ b/cassiarail/http1/server_connections.py
@@ -7,40 +7,31 @@
 from collections.abc import Callable
 from typing import cast
 
-import h11
-
 from cassiarail.http1.assembly import (
     ClientLimits,
-    RequestAssembler,
     UnreadRequestError,
     build_stop_error,
-    build_timeout_error,
 )
-from cassiarail.http1.bounded_connections import BoundedConnection
-from cassiarail.http1.client_memory import build_memory_error
 from cassiarail.http1.exchanges import Exchange, ResponseProgress
 from cassiarail.http1.parsing import (
-    build_parser,
     find_next_request,
     renew_parser,
     skip_empty_lines,
 )
+from cassiarail.http1.refusals import RefusalRenderer
+from cassiarail.http1.request_reading import RequestReader
 from cassiarail.http1.sockets import (
     close_gracefully,
     enable_dead_peer_detection,
 )
 from cassiarail.http1.states import ConnectionState
-from cassiarail.http1.turns import Turn, TurnPasses
+from cassiarail.http1.turns import TurnPasses
 from cassiarail.http1.writing import ResponseWriter
 from cassiarail.limits.byte_budget import ByteBudget
 
 # Clients reuse connections until shortly before the idle limit. Closing later
 # than the limit avoids closing while a new request is in flight.
 _IDLE_MARGIN_S = 0.5
-# Chunks that a connection may send in one piece are thousands. These take less
-# than a millisecond to parse; the rest waits for the connection's next turn.
-EVENTS_PER_TURN = 32
-
 
 _FINAL = frozenset((ConnectionState.CLOSING, ConnectionState.CLOSED))
 
@@ -52,6 +43,7 @@
     limits: Callable[[], ClientLimits]
     memory: ByteBudget
     turns: TurnPasses
+    render_refusal: RefusalRenderer
 
     @abc.abstractmethod
     def add(self, connection: 'ServerConnection') -> None:
@@ -78,25 +70,25 @@
         """Handle one request."""
 
 
-class ServerConnection(BoundedConnection):
+class ServerConnection(RequestReader):
     """Read the requests of one client and handle them in order."""
 
     def __init__(self, listener: ConnectionOwner) -> None:
-        super().__init__(listener.memory, listener.count_limit)
+        super().__init__(
+            listener.limits(),
+            listener.memory,
+            listener.turns,
+            listener.count_limit,
+        )
         self._listener = listener
-        self._limits = listener.limits()
-        self._parser = build_parser(self._limits)
         self._writer = ResponseWriter(
             self._parser,
             self._end_response,
             self._is_last_response,
         )
         self._task: asyncio.Task[None] | None = None
-        self._assembler = RequestAssembler()
-        self._is_starved = False
         self._is_ahead_revoked = False
         self._is_stopping = False
-        self._turn = Turn(listener.turns, self._take_turn)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start waiting for the first request."""
@@ -122,9 +114,9 @@
         if self._turn.is_awaited or self.state is ConnectionState.RESPONDING:
             self.hold_ahead(self.ahead_bytes + len(received))
         elif self.state is ConnectionState.WAITING:
-            self._begin_request()
+            self.begin_request()
         else:
-            self._read_request()
+            self.read_request()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as a client that disconnected.
@@ -179,16 +171,11 @@
         if not transport.is_closing():
             close_gracefully(transport, self._timer)
 
-    def refuse_slow(self) -> None:
-        """Refuse a request whose client is too slow."""
-        self._refuse(build_timeout_error())
-
     def refuse_unread(self) -> None:
         """Refuse a request of which only a part was read."""
         # A request that is complete in the buffer is handled instead.
-        self._turn.leave()
-        self._read_request()
-        self._refuse(build_stop_error())
+        self.read_buffered()
+        self.refuse(build_stop_error())
 
     def stop(self) -> None:
         """Respond to what was read, break off a begun response, and close."""
@@ -214,84 +201,18 @@
             self.refuse_unread()
         self.close()
 
-    def _refuse_stale(self) -> None:
-        """Refuse a request whose memory others need."""
-        self._refuse(build_memory_error())
-
-    def _take_turn(self) -> None:
-        """Go on with a body, or with a request that was sent ahead."""
-        if self.receives_body:
-            self._read_request()
-        else:
-            self._begin_request()
-
-    def _begin_request(self) -> None:
-        self.state = ConnectionState.READING
-        self.head_since = self._loop.time()
-        self._timer.set(self._limits.read_timeout_s, self.refuse_slow)
-        self._read_request()
-
-    def _read_request(self) -> None:
-        """Parse what was received, a bounded part of it in one turn."""
-        for _ in range(EVENTS_PER_TURN):
-            if self.state is not ConnectionState.READING:
-                return
-            try:
-                self._read_event()
-            except h11.RemoteProtocolError as error:
-                self._refuse(
-                    UnreadRequestError(error.error_status_hint, str(error)),
-                )
-            except UnreadRequestError as error:
-                self._refuse(error)
-            if self._is_starved:
-                return
-        if self.state is ConnectionState.READING:
-            self._wait_for_turn()
-
-    def _read_event(self) -> None:
-        event = self._parser.next_event()
-        self._is_starved = (
-            event is h11.NEED_DATA
-            or event is h11.PAUSED
-            or isinstance(event, h11.ConnectionClosed)
-        )
-        if event is h11.NEED_DATA:
-            self._await_bytes()
-        elif not self._is_starved:
-            self._process_event(event)
-
-    def _wait_for_turn(self) -> None:
-        """Let others have their turns before the rest is parsed."""
-        self._count_limit('turns')
-        self.pause_reading()
-        unread_bytes = len(self._parser.trailing_data[0])
-        self._memory.hold_ahead(unread_bytes, self.revoke_ahead)
-        if self.state is ConnectionState.READING:
-            self._turn.wait()
+    def send_continue(self) -> None:
+        """Tell the client to send the body, if it waits for that."""
+        self._writer.send_continue()
 
-    def _process_event(self, event: object) -> None:
-        if isinstance(event, h11.Request):
-            self.head_since = None
-            self._writer.received_at = self._loop.time()
-            self._assembler.begin(event, self._limits)
-            self.receives_body = True
-            self._memory.take_body(
-                self._assembler.held_bytes, self._refuse_stale
-            )
-        elif isinstance(event, h11.Data):
-            self._memory.take_body(len(event.data), self._refuse_stale)
-            self._assembler.add(event.data, self._limits)
-        elif isinstance(event, h11.EndOfMessage):
-            self._memory.keep_body()
-            self._start_response()
-
-    def _start_response(self) -> None:
+    def start_response(self) -> None:
+        """Handle the request that was read."""
         self._timer.cancel()
         self.state = ConnectionState.RESPONDING
         self.receives_body = False
         self.hold_ahead(len(self._parser.trailing_data[0]))
         writer = self._writer
+        writer.received_at = self.received_at
         writer.begin_exchange(*self._assembler.finish())
         is_draining = self._listener.is_draining
         writer.idle_s = 0 if is_draining else self._limits.idle_s
@@ -348,13 +269,6 @@
         self.waiting_since = self._loop.time()
         self._timer.set(self._limits.idle_s + _IDLE_MARGIN_S, self.close)
 
-    def _await_bytes(self) -> None:
-        """Wait for the rest of a request."""
-        self._writer.send_continue()
-        unread_bytes = len(self._parser.trailing_data[0])
-        self._memory.hold_ahead(unread_bytes, self.revoke_ahead)
-        self.resume_reading()
-
     def revoke_ahead(self) -> None:
         """Handle none of the requests that were sent ahead."""
         self._memory.release_ahead()
@@ -363,9 +277,9 @@
         elif self.state is ConnectionState.SENDING:
             self.close()
         else:
-            self._refuse_stale()
+            self.refuse_stale()
 
-    def _refuse(self, error: UnreadRequestError) -> None:
+    def refuse(self, error: UnreadRequestError) -> None:
         """Respond to a request that was not read, then close."""
         if self.state is not ConnectionState.READING:
             return
@@ -375,7 +289,7 @@
         method = self._assembler.head.method
         self._assembler.discard()
         self._listener.count_unread(error.status, error.reason)
-        self._writer.refuse(error, method)
+        self._writer.refuse(error, method, self._listener.render_refusal)
         self.close()
 
     def _cancel_response(self) -> None:
--- a/cassiarail/http1/sockets.py
+++ b/cassiarail/http1/sockets.py
@@ -56,5 +56,9 @@
     """
     transport.resume_reading()
     with contextlib.suppress(OSError):  # its peer has reset the connection
-        transport.write_eof()
+        try:
+            transport.write_eof()
+        except NotImplementedError:
+            # TLS closes both directions together, after all written bytes.
+            transport.close()
     timer.set(_LINGER_S, transport.close)
--- a/cassiarail/http1/writing.py
+++ b/cassiarail/http1/writing.py
@@ -8,7 +8,7 @@
 
 from cassiarail.http1.exchanges import Exchange, ResponseProgress
 from cassiarail.http1.messages import Header, Headers, RequestHead, find_header
-from cassiarail.http1.refusals import RefusedRequestError
+from cassiarail.http1.refusals import RefusalRenderer, RefusedRequestError
 from cassiarail.http1.sockets import reset_connection
 
 _HEAD = b'HEAD'
@@ -85,8 +85,8 @@
         set to run rarely.
         """
         self.end_exchange()
-        self._on_response_end = _ignore
-        self._is_last = _ignore
+        self._on_response_end = _ignore_end
+        self._is_last = _deny
 
     def detach(self) -> None:
         """Discard all further bytes because the client has disconnected."""
@@ -147,7 +147,12 @@
             reset_connection(transport)
         self._on_response_end(False)
 
-    def refuse(self, refusal: RefusedRequestError, method: bytes) -> None:
+    def refuse(
+        self,
+        refusal: RefusedRequestError,
+        method: bytes,
+        render: RefusalRenderer,
+    ) -> None:
         """Respond to a request that was not read completely.
 
         ``method`` is ignored unless the head of the request was read.
@@ -155,11 +160,11 @@
         is_head_read = self._parser.our_state is h11.SEND_RESPONSE
         if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
-        body = refusal.reason.encode()
+        rendered, body = render(refusal)
         headers = [
             (b'content-length', b'%d' % len(body)),
             (b'connection', b'close'),
-            *refusal.list_headers(),
+            *rendered,
         ]
         self._send_head(refusal.status, headers)
         if method != _HEAD or not is_head_read:
@@ -192,8 +197,12 @@
             self._transport.write(encoded)
 
 
-def _ignore(*_facts: object) -> bool:
+def _ignore_end(_is_reusable: bool) -> None:
     """Take the place of a callback to a connection that has ended."""
+
+
+def _deny() -> bool:
+    """Take the place of a question to a connection that has ended."""
     return False
 
 
