Return the memory of large bodies to the system

Callers saw: a gateway stays above its memory after bodies were refused. Cause: the C library raises its threshold for separate blocks with each large one that is freed, up to 32 MiB; later bodies lie in the heap and leave gaps. Change: mallopt fixes the threshold at its initial 128 KiB, where the library has one (glibc).

--- a/cassiarail/commands/launch.py
+++ b/cassiarail/commands/launch.py
@@ -7,6 +7,8 @@
 import importlib
 import signal
 
+_ALLOCATION = 'cassiarail.core.allocation'
+
 
 def launch(module: str) -> None:
     """Import and run the program of a module.
@@ -15,4 +17,5 @@
     Programs that don't reload their settings ignore it.
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    importlib.import_module(_ALLOCATION).fix_large_block_threshold()
     importlib.import_module(module).program()
