Bound messages, calls and connections at the peers of controllers

Callers saw: 40 connections that send messages without end grow a controller by 271 MB; many calls, each short of its end, by 105 to 170 MB. Cause: grpclib reads a message of any announced length and confirms its bytes as they are read, parses all that it has received in one turn of the loop, and has no limit of connections or, until it is confirmed, of calls.

--- a/cassiarail/conf/global_defaults.py
+++ b/cassiarail/conf/global_defaults.py
@@ -32,6 +32,13 @@
 STATUS_MEMORY_BYTES = 1_048_576
 STATUS_CONNECTIONS_MAX = 128
 PEER_TIMEOUT_S = 1.0
+# Digests and configurations of 380 nodes are far below; they are compressed.
+PEER_MESSAGE_MAX_BYTES = 1_048_576
+PEER_MEMORY_BYTES = 4_194_304
+# Above the nodes of the largest fleet (380) and their gateways.
+PEER_CONNECTIONS_MAX = 1024
+# A node has one call of each kind in progress: four, and their repetitions.
+PEER_STREAMS_MAX = 12
 
 HEARTBEAT_INTERVAL_S = 1.0
 LEASE_DURATION_S = 6.0
