Record no cost above the pool, and reject counts out of range

Cause: the cost was recorded before it was compared with the pool. The mean cost doesn't decay with time, so that the units to hold exceed 64 bits and the report to the leader can't be encoded. Negative counts were accepted too, and added units. Change: a cost above the pool is refused and not recorded; counts from 0 to 10**9 are read, others get 400, as other text did.

--- a/cassiarail/limits/quotas.py
+++ b/cassiarail/limits/quotas.py
@@ -170,7 +170,9 @@
         units = self._find(account, now)
         if units is None:
             return SpendResult(Decision.ADMITTED)
-        units.use.record(cost, now)
+        # One above the pool is never admitted, and says nothing of the next.
+        if cost <= units.bounds.pool:
+            units.use.record(cost, now)
         return self._decide(units, cost, now)
 
     def try_again(self, account: ClientAccount, cost: float) -> SpendResult:
--- a/cassiarail/platform/dialect.py
+++ b/cassiarail/platform/dialect.py
@@ -27,6 +27,8 @@
 from cassiarail.platform import accounts, documents, headers
 from cassiarail.security.keys import parse_bearer
 
+# Thousands of times what an engine holds; sums of them stay below 64 bits.
+_MAX_TOKENS = 1_000_000_000
 _MS = 1000
 _SECONDS = re.compile(r'[0-9]{1,12}(\.[0-9]{0,9})?')
 _COUNT = re.compile('[0-9]{1,9}')
@@ -191,9 +193,12 @@
     text = find_header(head.headers, headers.TOKEN_COUNT) or '0,0'
     prompt, output, *_rest = [*text.split(','), '']
     try:
-        return int(prompt), int(output or 0)
+        counts = (int(prompt), int(output or 0))
     except ValueError as error:
         raise RequestError('the token count is not two numbers') from error
+    if min(counts) < 0 or max(counts) > _MAX_TOKENS:
+        raise RequestError('the token count is out of range')
+    return counts
 
 
 def _parse_prefix(head: RequestHead) -> tuple[str, ...]:
--- a/tests/limits/test_quotas.py
+++ b/tests/limits/test_quotas.py
@@ -245,3 +245,16 @@
         380, seed, share=4, pick=on_all, change=cut, seconds=20
     )
     assert fleet.worst_share(account) <= 1
+
+
+def test_a_request_above_the_pool_takes_nothing_from_the_others():
+    account = make_account('a')
+    fleet = Fleet(6, [account], 1, loss=0)
+    fleet.run(2)
+    for host in fleet.hosts:
+        refused = host.quotas.try_spend(account, 10.0**40)
+        assert refused.decision is Decision.REFUSED
+        assert all(row.ahead < 10**6 for row in host.quotas.list_due())
+    fleet.play(account, RATE * 0.5, on_all, 8)
+    fleet.run(8)
+    assert fleet.refused_share(account) <= 0.005
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cassiarail.edge.dialect import ReportedLoad
+from cassiarail.edge.dialect import ReportedLoad, RequestError
 from cassiarail.http1.messages import RequestHead, ResponseHead
 from cassiarail.platform.dialect import PlatformDialect
 
@@ -65,3 +65,19 @@
     assert request.prefix_parts == ('5c', '91', 'e4', 'f0')
     assert request.part_tokens == (800, 410, 0, 0)
     assert request.length_hint == 31
+
+
+@pytest.mark.parametrize(
+    'text', [b'1' + b'0' * 40 + b',1', b'1,1000000001', b'-5,10', b'5,-1', b'x']
+)
+def test_a_token_count_out_of_range_is_rejected(text):
+    head = RequestHead(
+        b'POST',
+        b'/',
+        [
+            (b'x-cassiarail-request-id', b'r'),
+            (b'x-cassiarail-token-count', text),
+        ],
+    )
+    with pytest.raises(RequestError):
+        PlatformDialect().decode_request(head)
