Keep nothing of models that the configuration doesn't have

Cause: demand was counted under the name that a caller states, before anybody knew whether it exists; entries stayed at 0, and the leader kept the names too. Change: only models and adapters of the configuration are counted, and entries go as their last request ends.

--- a/cassiarail/edge/fleet/demand.py
+++ b/cassiarail/edge/fleet/demand.py
@@ -67,6 +67,8 @@
             yield
         finally:
             self._in_flight[key] -= 1
+            if not self._in_flight[key]:
+                self._in_flight.pop(key)
 
     def record_refused(self, service: str, variant: ModelVariant) -> None:
         """Count a request that was rejected because no target serves it."""
--- a/cassiarail/edge/registry/configuration.py
+++ b/cassiarail/edge/registry/configuration.py
@@ -6,8 +6,11 @@
 from typing import NamedTuple
 
 from cassiarail.http1.assembly import ClientLimits
+from cassiarail.placement.adapters import ADAPTER_PREFIX
 from cassiarail.security.accounts import AccountDirectory
 
+_NUMBER_DIGITS = 9
+
 
 class RouteKind(enum.Enum):
     """Name how often a request may run."""
@@ -79,6 +82,14 @@
     disk_load_s: float
     memory_load_s: float
 
+    def has_adapter(self, name: str) -> bool:
+        """Return whether an adapter of that name exists."""
+        number = name.removeprefix(ADAPTER_PREFIX)
+        is_number = len(number) < _NUMBER_DIGITS and number.isdecimal()
+        if not (is_number and name.startswith(ADAPTER_PREFIX)):
+            return False
+        return 1 <= int(number) <= self.adapter_count
+
 
 class EngineType(NamedTuple):
     """Describe the engines of a service.
@@ -93,6 +104,13 @@
     loads_per_s: float
     models: Mapping[str, Model]
 
+    def has_variant(self, model: str, adapter: str) -> bool:
+        """Return whether a model, and its adapter if one is named, exist."""
+        known = self.models.get(model)
+        if known is None:
+            return False
+        return not adapter or known.has_adapter(adapter)
+
 
 class Service(NamedTuple):
     """Describe a service; ``engine`` is set if it serves models."""
--- a/cassiarail/edge/requests/forwarding.py
+++ b/cassiarail/edge/requests/forwarding.py
@@ -118,7 +118,7 @@
             return
         with self._parts.demand.track(
             job.service.name,
-            job.request.variant,
+            job.known_variant,
             job.route.objective_s,
         ):
             await self._serve(job)
@@ -301,7 +301,7 @@
                 _RETRY_AFTER_S,
             )
         if self._parts.selector.all_unreachable(job):
-            self._parts.demand.record_refused(service.name, variant)
+            self._record_refused(job)
             raise Refusal(
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
                 'the targets that hold the model are unreachable',
@@ -326,7 +326,7 @@
                 job, load_s + _NETWORK_MARGIN_S
             ):
                 raise build_stop_refusal()
-            self._parts.demand.record_refused(service.name, variant)
+            self._record_refused(job)
             raise Refusal(
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
                 'no engine can hold the model in time',
@@ -334,6 +334,12 @@
             )
         await self._parts.admission.charge(job)
 
+    def _record_refused(self, job: Job) -> None:
+        if job.known_variant is not None:
+            self._parts.demand.record_refused(
+                job.service.name, job.known_variant
+            )
+
     def _is_load_too_late(self, job: Job, engine: EngineType) -> bool:
         until = min(
             job.deadline - _NETWORK_MARGIN_S,
--- a/cassiarail/edge/requests/jobs.py
+++ b/cassiarail/edge/requests/jobs.py
@@ -10,7 +10,7 @@
 from cassiarail.core.verdict import Verdict, combine_verdicts
 from cassiarail.edge.dialect import CallerRequest
 from cassiarail.edge.registry.configuration import Configuration, Route, Service
-from cassiarail.edge.registry.targets import Target
+from cassiarail.edge.registry.targets import ModelVariant, Target
 from cassiarail.edge.requests.event_stream import EventSplitter
 from cassiarail.edge.requests.evidence import AttemptEvidence, ReceivedHead
 from cassiarail.edge.requests.timeline import Timeline
@@ -141,6 +141,18 @@
         self.timeline = Timeline(exchange.received_at)
         self._shared_parts = _find_shared_parts(request.prefix_parts)
 
+    @property
+    def known_variant(self) -> ModelVariant | None:
+        """Return what the request needs, if the configuration has it.
+
+        Callers may state any name, and each would be kept for some time.
+        """
+        variant, engine = self.request.variant, self.service.engine
+        if variant is None or engine is None:
+            return None
+        exists = engine.has_variant(variant.model, variant.adapter)
+        return variant if exists else None
+
     @property
     def rank(self) -> int:
         """Return the priority, 0 first; that of the account has precedence."""
--- a/cassiarail/placement/adapters.py
+++ b/cassiarail/placement/adapters.py
@@ -19,7 +19,7 @@
 _MIN_RESIDENCE_S = 0.5
 _UNKNOWN_IDLE_S = 1_000_000.0
 # Adapter names are this prefix and a number.
-_ADAPTER_PREFIX = 'a'
+ADAPTER_PREFIX = 'a'
 
 
 class AdapterPlanner:
@@ -144,7 +144,7 @@
             has_requests = demand is not None and demand.requests_per_s > 0
             if copies > 1 or (copies and has_requests):
                 for number in range(1, facts.adapter_count + 1):
-                    yield name, f'{_ADAPTER_PREFIX}{number}'
+                    yield name, f'{ADAPTER_PREFIX}{number}'
 
 
 def _list_adapters(engine: EngineState) -> Iterator[tuple[str, str]]:
