--- a/cassiarail/commands/programs/controller.py
+++ b/cassiarail/commands/programs/controller.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import random
+from collections.abc import Iterator
 from typing import Annotated
 
 import typer
@@ -15,7 +16,7 @@
     ControllerProcess,
 )
 from cassiarail.core.clock import Clock, LoopClock
-from cassiarail.core.lifecycle import Application, Component
+from cassiarail.core.lifecycle import Application
 from cassiarail.core.loops import run_real
 from cassiarail.core.transports import create_tcp_transport
 from cassiarail.membership.backends.codec import SignedCodec
@@ -24,14 +25,18 @@
     GrpcPeerTransport,
 )
 from cassiarail.store.backends.http import HttpObjectStore
-from cassiarail.telemetry.listener import HttpListener, LimitsCollector
+from cassiarail.telemetry.listener import (
+    HttpListener,
+    LimitedListener,
+    LimitsCollector,
+)
 from cassiarail.telemetry.logs import configure_logs
 from cassiarail.telemetry.metrics import create_registry
 
 program = typer.Typer(add_completion=False)
 
 
-class PeerListener(Component):
+class PeerListener(LimitedListener):
     """Serve peers and gateways over gRPC."""
 
     name = 'peers'
@@ -42,6 +47,10 @@
         self._host = host
         self._port = int(port)
 
+    def describe_limits(self) -> Iterator[tuple[str, float]]:
+        """Yield the name of each limit, and how often it was reached."""
+        return self._server.describe_limits()
+
     async def start(self) -> None:
         """Listen on the peers' address."""
         await self._server.start(self._host, self._port)
@@ -90,7 +99,7 @@
         settings['operators'],
         process.build_operator_app(lambda: application.is_ready()),
     )
-    LimitsCollector(process.registry, operators)
+    LimitsCollector(process.registry, operators, listener)
     application = Application(
         'controller',
         [listener, *process.components, operators],
--- a/cassiarail/membership/backends/grpc.py
+++ b/cassiarail/membership/backends/grpc.py
@@ -2,7 +2,7 @@
 
 import socket
 import ssl
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import Any, TypeVar
 
 from grpclib.client import Channel
@@ -166,6 +166,12 @@
         self._server.close()
         await self._server.wait_closed()
 
+    def describe_limits(self) -> Iterator[tuple[str, float]]:
+        """Yield the name of each limit, and how often it was reached."""
+        connections = self._server.connections
+        yield from connections.limit_counts.items()
+        yield 'memory', connections.memory.revoked
+
     def require_running(self) -> None:
         """Raise ``GRPCError`` for a call after ``stop``."""
         if self._stopped:
--- a/cassiarail/telemetry/listener.py
+++ b/cassiarail/telemetry/listener.py
@@ -1,5 +1,6 @@
 """Serve an ASGI application as a component."""
 
+import abc
 import ssl
 from collections.abc import Iterator
 from typing import Any, NamedTuple
@@ -47,8 +48,16 @@
     render_refusal: RefusalRenderer = render_plain_refusal
 
 
-class HttpListener(Component):
-    """Listen on one address until stopped."""
+class LimitedListener(Component):
+    """Listen on one address, with limits on what clients may do."""
+
+    @abc.abstractmethod
+    def describe_limits(self) -> Iterator[tuple[str, float]]:
+        """Yield the name of each limit, and how often it was reached."""
+
+
+class HttpListener(LimitedListener):
+    """Serve an ASGI application until stopped."""
 
     def __init__(
         self,
@@ -82,7 +91,7 @@
         return self._listener.port
 
     def describe_limits(self) -> Iterator[tuple[str, float]]:
-        """Yield how often each limit was reached."""
+        """Yield the name of each limit, and how often it was reached."""
         yield from self._listener.limit_counts.items()
         yield 'memory', self._listener.memory.revoked
 
@@ -120,7 +129,7 @@
     """Report how often the clients of listeners have reached each limit."""
 
     def __init__(
-        self, registry: CollectorRegistry, *listeners: HttpListener
+        self, registry: CollectorRegistry, *listeners: LimitedListener
     ) -> None:
         """Register with the registry of the process."""
         self._listeners = listeners
