Leave descriptors for targets on machines with few

Callers saw: on a machine with 1,638 descriptors, a crowd that only connects uses all of them, and no request reaches a target. Cause: the limit of 3,000 connections came from machines with 4,100.

--- a/cassiarail/conf/edge.py
+++ b/cassiarail/conf/edge.py
@@ -11,6 +11,7 @@
 from typing_extensions import TypedDict
 
 from cassiarail.conf.files import RejectedSettingsError, read_json
+from cassiarail.conf.global_defaults import CALLER_CONNECTIONS_MAX
 from cassiarail.core.checks import CheckMessage
 from cassiarail.http1.pool import Address
 from cassiarail.limits.quota_bounds import DEFAULT_RULES, QuotaRules
@@ -69,7 +70,8 @@
     most a quarter of it is used for traffic to other hosts.
     ``response_memory_bytes`` limits the responses that are kept until they are
     complete, ``client_memory_bytes`` the bodies of requests and what callers
-    don't read; the defaults are in ``global_defaults``.
+    don't read; the defaults are in ``global_defaults``. ``descriptors`` is what
+    the process may have open; callers' connections use a part of them.
     """
 
     name: str
@@ -84,9 +86,13 @@
     link_mbps: float
     response_memory_bytes: NotRequired[int]
     client_memory_bytes: NotRequired[int]
+    descriptors: NotRequired[int]
 
 
 _ADDRESS_KEYS = ('callers', 'peers', 'object_api')
+_COUNT_KEYS = ('response_memory_bytes', 'client_memory_bytes', 'descriptors')
+# Targets, peers, the store, logs and the other listeners use the rest.
+_CALLER_DESCRIPTOR_SHARE = 0.7
 _ENDPOINT_KEYS = ('readiness', 'metrics')
 
 
@@ -124,6 +130,15 @@
     )
 
 
+def compute_connections_max(settings: EdgeSettings) -> int:
+    """Return how many connections callers may have open."""
+    descriptors = settings.get('descriptors')
+    if descriptors is None:
+        return CALLER_CONNECTIONS_MAX
+    share = int(descriptors * _CALLER_DESCRIPTOR_SHARE)
+    return min(CALLER_CONNECTIONS_MAX, share)
+
+
 def _check_values(settings: EdgeSettings) -> list[CheckMessage]:
     addresses = {name: settings[name] for name in _ADDRESS_KEYS}  # type: ignore[literal-required]
     for name in _ENDPOINT_KEYS:
@@ -140,7 +155,7 @@
         problems.append(CheckMessage('S011', '$.link_mbps', message))
     problems.extend(
         CheckMessage('S011', f'$.{name}', 'must not be negative')
-        for name in ('response_memory_bytes', 'client_memory_bytes')
+        for name in _COUNT_KEYS
         if settings.get(name, 0) < 0  # type: ignore[operator]
     )
     if settings['registry']['heartbeat_s'] <= 0:
--- a/cassiarail/conf/global_defaults.py
+++ b/cassiarail/conf/global_defaults.py
@@ -19,8 +19,8 @@
 # A sixth of the memory of the smallest hosts, which is 200 MB.
 RESPONSE_MEMORY_BYTES = 33_554_432
 CLIENT_MEMORY_BYTES = 33_554_432
-# Hosts have 4,100 descriptors or more; targets, peers, the store, logs and the
-# listeners of the platform use the others.
+# Most hosts have 4,100 descriptors or more, of which targets, peers, the store,
+# logs and the other listeners use the rest. The edge has a setting for others.
 CALLER_CONNECTIONS_MAX = 3000
 # What one connection may send ahead, and leave unread before its next request
 # is handled.
--- a/cassiarail/edge/requests/caller_listener.py
+++ b/cassiarail/edge/requests/caller_listener.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from cassiarail.conf.global_defaults import CALLER_CONNECTIONS_MAX
 from cassiarail.core.clock import Clock
 from cassiarail.core.events import emit_event
 from cassiarail.core.lifecycle import Component
@@ -57,6 +58,7 @@
         clock: Clock,
         rules: Callable[[], DrainRules],
         memory: ByteBudget | None = None,
+        max_connections: int = CALLER_CONNECTIONS_MAX,
     ) -> None:
         self.is_draining = False
         self._forwarder = forwarder
@@ -69,6 +71,7 @@
             configuration.limits,
             self._count_unread,
             memory,
+            max_connections,
         )
 
     def refresh_metrics(self) -> None:
--- a/cassiarail/edge/requests/parts.py
+++ b/cassiarail/edge/requests/parts.py
@@ -6,6 +6,7 @@
 
 from cassiarail.conf.edge import (
     EdgeSettings,
+    compute_connections_max,
     read_quota_rules,
     read_retry_rules,
 )
@@ -114,6 +115,7 @@
             clock,
             read_drain_rules,
             self.memory.clients,
+            compute_connections_max(settings),
         )
 
     def retain(self, instances: Iterable[str]) -> None:
--- a/tests/commands/test_edge_bodies.py
+++ b/tests/commands/test_edge_bodies.py
@@ -33,6 +33,8 @@
 # open for the next one.
 TARGET_CONNECTIONS = CONNECTIONS
 DATAGRAM_BYTES = 60_000
+DESCRIPTORS = 400
+IDLE_CONNECTIONS = 380
 DATAGRAMS = 2000
 # Ends a test whose host hangs, also on a busy machine.
 ANSWER_TIMEOUT_S = 60
@@ -169,6 +171,28 @@
     run_real(main)
 
 
+def test_connections_leave_descriptors_for_targets(tmp_path):
+    async def main():
+        settings = {**SETTINGS, 'descriptors': DESCRIPTORS}
+        async with HostRun(tmp_path, settings) as run:
+            writers = []
+            for _ in range(IDLE_CONNECTIONS):
+                with contextlib.suppress(OSError):
+                    _reader, writer = await asyncio.open_connection(
+                        ADDRESS, run.host.port
+                    )
+                    writers.append(writer)
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                while not await run.send_ordinary():
+                    await asyncio.sleep(0.1)
+            assert run.host.is_running
+            assert run.host.count_descriptors() <= DESCRIPTORS * 0.8
+            for writer in writers:
+                writer.transport.abort()
+
+    run_real(main)
+
+
 class DatagramCrowd:
     """Send datagrams to the peers' address, which has no connections."""
 
