--- a/tests/commands/crowds.py
+++ b/tests/commands/crowds.py
@@ -5,9 +5,9 @@
 import pathlib
 import socket
 
+from tests.soak.behaviour import Behaviour
 from tests.soak.callers import HOST, KINDS, Attempt, Call
 from tests.soak.drill import Scale, SoakRun
-from tests.soak.engines import Behaviour
 from tests.soak.hosts import Host
 from tests.soak.loopback import ADDRESS
 
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -1,40 +1,30 @@
 """Simulate model engines and a plain service, and record what actually ran."""
 
 import asyncio
-import collections
 import json
 import math
 import random
 import time
-from typing import NamedTuple
 
+from tests.soak.behaviour import (
+    FAULTY,
+    MODELS,
+    MODELS_PER_ENGINE,
+    find_deadly_part,
+)
 from tests.soak.http_server import Abort, HttpServer
 from tests.soak.links import Link
 from tests.soak.loopback import ADDRESS
-from tests.soak.stability import Arrival, Execution
+from tests.soak.stability import Arrival
+from tests.soak.streams import EVENT_INTERVAL_S, Streams
 
 HEARTBEAT_S = 0.4
-EVENTS = 6
-MODELS = ('m0', 'm1', 'm2', 'm3')
-MODELS_PER_ENGINE = 2
-MODEL_GB = 70
-_EVENT_INTERVAL_S = 0.03
 _LOAD_DURATION_S = 0.4
 _SERVICE_DURATION_S = 0.03
 _RESTART_S = 1.0
-# Parts with this beginning crash each engine that answers them.
-DEADLY = 'dead'
 # Draining engines serve for at least the time limit on new requests, and some
 # much longer.
 _DRAIN_RANGE_S = (2.5, 5.0)
-# Some streams last long enough for clients to disconnect in the middle.
-_SLOW_EVENT_INTERVAL_S = 0.4
-_SLOW_SHARE = 0.15
-# Some streams stall, and some engines go on after their caller has closed the
-# connection.
-_STALL_SHARE = 0.08
-_STALL_RANGE_S = (2.0, 5.0)
-_GOES_ON_SHARE = 0.5
 # Some engines send an answer twice, at once or later.
 _COPY_SHARE = 0.06
 _COPY_DELAYS_S = (0.0, 0.05)
@@ -43,72 +33,11 @@
 # Reports describe the engine as it was this long ago.
 _REPORT_LAG_S = 0.1
 _REPORT_HISTORY_S = 10.0
-# Runs that last long, and how long a stream is silent if its engine lets more
-# urgent ones run first.
+# Runs that last long.
 _LONG_RANGE_S = (3.0, 7.0)
-_PREEMPTED_RANGE_S = (1.0, 4.0)
-
-
-class Behaviour(NamedTuple):
-    """Describe how an engine runs requests.
-
-    Requests beyond ``slots`` wait if the queue has room. The answers of sound
-    engines are never lost, copied or replaced.
-    """
-
-    is_sound: bool = False
-    slots: int = 8
-    queue_length: int = 0
-    long_share: float = 0.0
-    preempted_share: float = 0.0
-
-
-FAULTY = Behaviour()
-SOUND = Behaviour(
-    is_sound=True,
-    slots=4,
-    queue_length=8,
-    long_share=0.3,
-    preempted_share=0.08,
-)
-
-
-class Records:
-    """Hold the executed requests and received orders of all engines."""
-
-    def __init__(self):
-        self.runs = collections.Counter()
-        self.services = {}
-        self.orders = []
-        self.overcommitted = []
-        self.arrivals = []
-        self.executions = []
-        self.tainted = []
-        self.faults = collections.Counter()
-        self.crashes = collections.defaultdict(list)
-        # Which engines received a request, when they worked on it, and the
-        # requests that they broke off.
-        self.receivers = collections.defaultdict(set)
-        self.work = collections.defaultdict(list)
-        self.broken_off = set()
-
-
-def make_events(request_id):
-    """Return the events of a stream."""
-    return [
-        f'id: {number}\ndata: {request_id}-{number}\n\n'.encode()
-        for number in range(1, EVENTS + 1)
-    ]
-
-
-def find_deadly_part(headers):
-    """Return the part of a prompt that crashes engines, if any."""
-    parts = headers.get('x-cassiarail-prompt-prefix', '').split(',')
-    names = (part.partition(':')[0] for part in parts)
-    return next((name for name in names if name.startswith(DEADLY)), None)
 
 
-class Engine:
+class Engine(Streams):
     """Simulate one target; each start has a new instance id."""
 
     def __init__(
@@ -408,7 +337,7 @@
         self._records.tainted.append((part, request_id, time.monotonic()))
         self._records.runs[request_id] += 1
         self._records.services.setdefault(request_id, self.service)
-        await asyncio.sleep(_EVENT_INTERVAL_S)
+        await asyncio.sleep(EVENT_INTERVAL_S)
         if not self.is_alive:
             return
         self._records.crashes[part].append(time.monotonic())
@@ -421,77 +350,3 @@
         await asyncio.sleep(_RESTART_S)
         if not self.is_alive:
             await self.start(MODELS[:MODELS_PER_ENGINE])
-
-    async def _stream(self, request, response, headers):
-        first = int(request.headers.get('last-event-id', 0))
-        request_id = headers['x-cassiarail-request-id']
-        response.send_head(
-            200,
-            {
-                **headers,
-                'content-type': 'text/event-stream',
-                'transfer-encoding': 'chunked',
-            },
-        )
-        events = make_events(request_id)[first:]
-        is_slow = self._generator.random() < _SLOW_SHARE
-        interval_s = _SLOW_EVENT_INTERVAL_S if is_slow else _EVENT_INTERVAL_S
-        started_at = time.monotonic()
-        stalls_at, stall_s = self._draw_stall(response, len(events))
-        delays = self._draw_delays(interval_s, len(events))
-        preempted_at, preempted_s = self._draw_preemption(len(events))
-        try:
-            for number, event in enumerate(events):
-                await asyncio.sleep(delays[number])
-                if number == stalls_at:
-                    await asyncio.sleep(stall_s)
-                if number == preempted_at:
-                    self._end_work(request_id)
-                    await asyncio.sleep(preempted_s)
-                    self._start_work(request_id)
-                await response.send(event)
-            await response.finish()
-        finally:
-            self._records.executions.append(
-                Execution(
-                    request_id,
-                    self.name,
-                    started_at,
-                    time.monotonic(),
-                    started_at + sum(delays) + stall_s + preempted_s,
-                    response.goes_on_after_close,
-                )
-            )
-
-    def _draw_delays(self, interval_s, count):
-        """Return the delay before each event."""
-        delays = [interval_s] * count
-        duration_s = self._draw_duration(0)
-        if duration_s and count:
-            # A long run reads its prompt before the first event.
-            prompt_s = self._pace_generator.random() * duration_s
-            delays = [(duration_s - prompt_s) / count] * count
-            delays[0] += prompt_s
-        return delays
-
-    def _draw_preemption(self, count):
-        """Return at which event a stream is preempted, if at any, how long."""
-        generator = self._pace_generator
-        if not count or generator.random() >= self._behaviour.preempted_share:
-            return None, 0
-        self._records.faults['preempted'] += 1
-        return generator.randrange(count), generator.uniform(
-            *_PREEMPTED_RANGE_S
-        )
-
-    def _draw_stall(self, response, count):
-        """Return at which event a stream stalls, if at any, and how long."""
-        if self._behaviour.is_sound:
-            return None, 0
-        generator = self._answer_generator
-        if not count or generator.random() >= _STALL_SHARE:
-            return None, 0
-        self._records.faults['stall'] += 1
-        response.goes_on_after_close = generator.random() < _GOES_ON_SHARE
-        self._records.faults['goes on'] += response.goes_on_after_close
-        return generator.randrange(count), generator.uniform(*_STALL_RANGE_S)
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -3,7 +3,7 @@
 import collections
 import re
 
-from tests.soak.engines import EVENTS
+from tests.soak.behaviour import EVENTS
 from tests.soak.losses import LossCheck
 from tests.soak.stability import (
     FaultPeriods,
--- a/tests/soak/planned_work.py
+++ b/tests/soak/planned_work.py
@@ -5,8 +5,8 @@
 import signal
 import time
 
+from tests.soak.behaviour import MODELS, SOUND
 from tests.soak.drill import SoakRun
-from tests.soak.engines import MODELS, SOUND
 from tests.soak.sessions import Sessions
 
 # The remaining runs also have the faults of the others.
--- a/tests/soak/test_losses.py
+++ b/tests/soak/test_losses.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from tests.soak.behaviour import Records
 from tests.soak.callers import KINDS, Call
-from tests.soak.engines import Records
 from tests.soak.guarantees import find_violations
 from tests.soak.losses import PlannedWork, count_ends
 from tests.soak.stability import FaultPeriod
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,9 +5,9 @@
 
 import pytest
 
+from tests.soak.behaviour import Records, make_events
 from tests.soak.callers import KINDS, Call
 from tests.soak.drill import Scale, play
-from tests.soak.engines import Records, make_events
 from tests.soak.guarantees import find_violations
 from tests.soak.loopback import find_address
 from tests.soak.planned_work import PlannedRun
