Test the remaining mixes of bodies above the limit

Cause: bodies above the limit were sent in pieces only, and never in one-byte chunks. Change: each also in one piece; one-byte chunks above a limit that the test lowers at the entry and the gateway's callers, and above that of the listeners without bodies. Crowd and bounds are those of the other tests.

--- a/tests/commands/bodies.py
+++ b/tests/commands/bodies.py
@@ -16,8 +16,12 @@
 _LARGE_CHUNK_BYTES = 32_768
 # A byte in a chunk takes six bytes on the way, and a parser many times its
 # size; these bodies are smaller so that a crowd of them is read in seconds.
-_TINY_BODY_BYTES = 16_000
+_TINY_BYTES = 16_000
+# Above the limit of listeners without bodies, and above a lowered one.
+_TINY_EXCESSIVE_BYTES = 20_000
+LOW_LIMIT_BYTES = 8192
 _TINY_CHUNKS_A_PIECE = 2000
+_ANNOUNCED_BYTES = 1_000_000_000
 _PIECE_PAUSE_S = 0.005
 _READ_BYTES = 65_536
 # Ends a crowd whose server has stopped reading.
@@ -62,9 +66,9 @@
         return f'Content-Length: {announced}\r\n'
 
     def _count_bytes(self, limits):
-        if self.is_excessive:
-            return limits.excessive
-        return _TINY_BODY_BYTES if self.is_tiny else limits.legal
+        if self.is_tiny:
+            return _TINY_EXCESSIVE_BYTES if self.is_excessive else _TINY_BYTES
+        return limits.excessive if self.is_excessive else limits.legal
 
     def _list_pieces(self, limits):
         size = self._count_bytes(limits)
@@ -109,22 +113,37 @@
             is_complete=is_complete,
             **framing,
         )
-    announced = 1_000_000_000
-    yield BodyShape(
-        'excessive-length', is_excessive=True, announced_bytes=announced
-    )
-    yield BodyShape(
-        'excessive-chunk',
-        is_chunked=True,
-        is_excessive=True,
-        announced_bytes=announced,
-    )
-    yield BodyShape(
-        'excessive-large-chunks', is_chunked=True, is_excessive=True
+    for is_whole in (False, True):
+        yield from _list_excessive(is_whole=is_whole)
+
+
+def _list_excessive(*, is_whole):
+    sending = '-whole' if is_whole else ''
+    framings = (
+        ('length', {'announced_bytes': _ANNOUNCED_BYTES}),
+        ('chunk', {'is_chunked': True, 'announced_bytes': _ANNOUNCED_BYTES}),
+        ('large-chunks', {'is_chunked': True}),
     )
+    for name, framing in framings:
+        yield BodyShape(
+            f'excessive-{name}{sending}',
+            is_whole=is_whole,
+            is_excessive=True,
+            **framing,
+        )
 
 
 SHAPES = tuple(_list_shapes())
+TINY_EXCESSIVE_SHAPES = tuple(
+    BodyShape(
+        f'excessive-tiny-chunks-{"whole" if is_whole else "pieces"}',
+        is_chunked=True,
+        is_tiny=True,
+        is_whole=is_whole,
+        is_excessive=True,
+    )
+    for is_whole in (True, False)
+)
 
 
 class BodyCrowd:
--- a/tests/commands/deployment.py
+++ b/tests/commands/deployment.py
@@ -108,9 +108,14 @@
         )
         await self.wait_until_served()
 
-    async def restart(self, name):
-        """Start a program anew, and return it once requests are served."""
+    async def restart(self, name, changes=None):
+        """Start a program anew, and return it once requests are served.
+
+        ``changes`` are settings, which stay until they are changed again.
+        """
         self.programs[name].kill()
+        if changes is not None:
+            self._write(name, self._read(name) | changes)
         self._launch(name)
         await self._wait_until(lambda: self.is_healthy(name))
         await self.wait_until_served()
--- a/tests/commands/test_edge_bodies.py
+++ b/tests/commands/test_edge_bodies.py
@@ -13,7 +13,9 @@
 from cassiarail.core.loops import run_real
 from tests.commands.bodies import (
     CONNECTIONS,
+    LOW_LIMIT_BYTES,
     SHAPES,
+    TINY_EXCESSIVE_SHAPES,
     BodyCrowd,
     BodyLimits,
     send_one_by_one,
@@ -42,11 +44,11 @@
 
 
 class LimitedRun(HostRun):
-    """Start one host whose configuration allows bodies of 1 MiB."""
+    """Start one host whose configuration limits bodies, to 1 MiB at first."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, body_max_bytes=1_048_576):
         super().__init__(folder, SETTINGS)
-        self._limits = {'max_body_bytes': 1_048_576}
+        self._limits = {'max_body_bytes': body_max_bytes}
 
 
 def encode_head(path, number):
@@ -103,9 +105,21 @@
     assert host.read_memory('VmHWM') - memory <= GROWTH_BYTES
 
 
-def check_bodies(folder, shape, find_port, path):
+def find_entry(host):
+    return host.port
+
+
+def find_ready(host):
+    return host.ready_port
+
+
+def find_metrics(host):
+    return host.metrics_port
+
+
+def check_bodies(folder, shape, find_port, path, **limits):
     async def main():
-        async with LimitedRun(folder) as run:
+        async with LimitedRun(folder, **limits) as run:
             crowd = BodyCrowd(
                 find_port(run.host),
                 shape,
@@ -122,23 +136,49 @@
 
 @shapes
 def test_bodies_at_the_entry(tmp_path, shape):
-    check_bodies(tmp_path, shape, lambda host: host.port, '/file/1')
+    check_bodies(tmp_path, shape, find_entry, '/file/1')
 
 
 @shapes
 def test_bodies_at_the_readiness(tmp_path, shape):
-    check_bodies(tmp_path, shape, lambda host: host.ready_port, '/v1/readyz')
+    check_bodies(tmp_path, shape, find_ready, '/v1/readyz')
 
 
 @shapes
 def test_bodies_at_the_metrics(tmp_path, shape):
-    check_bodies(tmp_path, shape, lambda host: host.metrics_port, '/metrics')
+    check_bodies(tmp_path, shape, find_metrics, '/metrics')
+
+
+@pytest.mark.parametrize(
+    'shape', TINY_EXCESSIVE_SHAPES, ids=lambda shape: shape.name
+)
+def test_tiny_chunks_above_the_limit_at_the_entry(tmp_path, shape):
+    check_bodies(
+        tmp_path,
+        shape,
+        find_entry,
+        '/file/1',
+        body_max_bytes=LOW_LIMIT_BYTES,
+    )
+
+
+@pytest.mark.parametrize(
+    ('find_port', 'path'),
+    [(find_ready, '/v1/readyz'), (find_metrics, '/metrics')],
+)
+@pytest.mark.parametrize(
+    'shape', TINY_EXCESSIVE_SHAPES, ids=lambda shape: shape.name
+)
+def test_tiny_chunks_above_the_limit_of_the_status(
+    tmp_path, shape, find_port, path
+):
+    check_bodies(tmp_path, shape, find_port, path)
 
 
 LISTENERS = (
-    pytest.param(lambda host: host.port, '/file/1', id='entry'),
-    pytest.param(lambda host: host.ready_port, '/v1/readyz', id='readiness'),
-    pytest.param(lambda host: host.metrics_port, '/metrics', id='metrics'),
+    pytest.param(find_entry, '/file/1', id='entry'),
+    pytest.param(find_ready, '/v1/readyz', id='readiness'),
+    pytest.param(find_metrics, '/metrics', id='metrics'),
 )
 
 
--- a/tests/commands/test_service_bodies.py
+++ b/tests/commands/test_service_bodies.py
@@ -15,7 +15,9 @@
 from cassiarail.core.loops import run_real
 from tests.commands.bodies import (
     CONNECTIONS,
+    LOW_LIMIT_BYTES,
     SHAPES,
+    TINY_EXCESSIVE_SHAPES,
     BodyCrowd,
     BodyLimits,
     send_one_by_one,
@@ -48,8 +50,10 @@
         started.kill()
 
 
-async def check_crowd(deployment, name, crowd, growth_bytes=GROWTH_BYTES):
-    program = await deployment.restart(name)
+async def check_crowd(
+    deployment, name, crowd, growth_bytes=GROWTH_BYTES, changes=None
+):
+    program = await deployment.restart(name, changes)
     memory = program.read_memory('VmHWM')
     descriptors = program.count_descriptors()
     allowed = SPARE_DESCRIPTORS + TARGET_CONNECTIONS
@@ -83,7 +87,30 @@
     run_real(check_crowd, deployment, 'gateway', crowd, CALLERS_GROWTH_BYTES)
 
 
-@shapes
+@pytest.mark.parametrize(
+    'shape', TINY_EXCESSIVE_SHAPES, ids=lambda shape: shape.name
+)
+def test_tiny_chunks_above_the_limit_at_a_gateway(deployment, shape):
+    port = deployment.ports['gateway.callers']
+    crowd = BodyCrowd(port, shape, BODIES, deployment.encode_head)
+    lowered = {'limits': {'body_max_bytes': LOW_LIMIT_BYTES}}
+
+    async def main():
+        try:
+            await check_crowd(
+                deployment, 'gateway', crowd, CALLERS_GROWTH_BYTES, lowered
+            )
+        finally:
+            await deployment.restart('gateway', LIMITS)
+
+    run_real(main)
+
+
+@pytest.mark.parametrize(
+    'shape',
+    [*SHAPES, *TINY_EXCESSIVE_SHAPES],
+    ids=lambda shape: shape.name,
+)
 @pytest.mark.parametrize('name', ['gateway', 'controller'])
 def test_bodies_at_the_operators_listener(deployment, name, shape):
     port = deployment.ports[f'{name}.operators']
